--- a/src/main/java/lapislink/adapter/FrameReader.java
+++ b/src/main/java/cypressglade/adapter/FrameReader.java
@@ -1,4 +1,4 @@
-package lapislink.adapter;
+package cypressglade.adapter;
 
 import java.io.DataInputStream;
 import java.io.EOFException;
@@ -10,12 +10,12 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import lapislink.Scheduler.ListKind;
-import lapislink.Scheduler.NodeEntry;
-import lapislink.Scheduler.Outcome;
-import lapislink.Scheduler.Request;
-import lapislink.Scheduler.State;
-import lapislink.Scheduler.Status;
+import cypressglade.core.Scheduler.ListKind;
+import cypressglade.core.Scheduler.NodeEntry;
+import cypressglade.core.Scheduler.Outcome;
+import cypressglade.core.Scheduler.Request;
+import cypressglade.core.Scheduler.State;
+import cypressglade.core.Scheduler.Status;
 
 /** Decodes batches of events; little-endian, unpadded. */
 final class FrameReader {
--- a/src/main/java/lapislink/adapter/FrameWriter.java
+++ b/src/main/java/cypressglade/adapter/FrameWriter.java
@@ -1,10 +1,10 @@
-package lapislink.adapter;
+package cypressglade.adapter;
 
 import java.io.IOException;
 import java.io.OutputStream;
 import java.nio.ByteBuffer;
 import java.nio.ByteOrder;
-import lapislink.Scheduler.Actions;
+import cypressglade.core.Scheduler.Actions;
 
 /** Encodes the actions of one reply; little-endian, unpadded. */
 final class FrameWriter {
--- a/src/main/java/lapislink/adapter/Main.java
+++ b/src/main/java/cypressglade/adapter/Main.java
@@ -1,4 +1,4 @@
-package lapislink.adapter;
+package cypressglade.adapter;
 
 import java.io.BufferedInputStream;
 import java.io.IOException;
@@ -8,13 +8,13 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import lapislink.Brain;
-import lapislink.Scheduler;
-import lapislink.Scheduler.ListKind;
-import lapislink.Scheduler.NodeEntry;
-import lapislink.Scheduler.Outcome;
-import lapislink.Scheduler.Request;
-import lapislink.Scheduler.Status;
+import cypressglade.core.Brain;
+import cypressglade.core.Scheduler;
+import cypressglade.core.Scheduler.ListKind;
+import cypressglade.core.Scheduler.NodeEntry;
+import cypressglade.core.Scheduler.Outcome;
+import cypressglade.core.Scheduler.Request;
+import cypressglade.core.Scheduler.Status;
 
 /** Joins the wire on standard input and output to one scheduler for each head. Decides nothing. */
 public final class Main implements FrameReader.Handler {
@@ -36,14 +36,14 @@
     /** Runs the adapter until the input ends; returns the exit code. */
     static int run(String[] args, InputStream in, OutputStream out, PrintStream errors) {
         if (args.length != 1 || !args[0].equals("adapter")) {
-            errors.println("usage: java -jar lapislink.jar adapter");
+            errors.println("usage: java -jar cypressglade.jar adapter");
             return USAGE;
         }
         try {
             new Main().serve(in, out);
             return OK;
         } catch (WireException | IOException broken) {
-            errors.println("lapislink: " + broken.getMessage());
+            errors.println("cypressglade: " + broken.getMessage());
             return BROKEN_INPUT;
         }
     }
--- a/src/main/java/lapislink/adapter/SettingsParser.java
+++ b/src/main/java/cypressglade/adapter/SettingsParser.java
@@ -1,16 +1,16 @@
-package lapislink.adapter;
+package cypressglade.adapter;
 
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
-import lapislink.Scheduler.Effect;
-import lapislink.Scheduler.Limits;
-import lapislink.Scheduler.Plan;
-import lapislink.Scheduler.RequestClass;
-import lapislink.Scheduler.Scope;
-import lapislink.Scheduler.Settings;
+import cypressglade.core.Scheduler.Effect;
+import cypressglade.core.Scheduler.Limits;
+import cypressglade.core.Scheduler.Plan;
+import cypressglade.core.Scheduler.RequestClass;
+import cypressglade.core.Scheduler.Scope;
+import cypressglade.core.Scheduler.Settings;
 
 /** Reads the path=value lines of an instance's first message. Unknown keys are skipped, absent ones are 0. */
 final class SettingsParser {
--- a/src/main/java/lapislink/adapter/WireException.java
+++ b/src/main/java/cypressglade/adapter/WireException.java
@@ -1,4 +1,4 @@
-package lapislink.adapter;
+package cypressglade.adapter;
 
 /** Something on the wire that cannot be understood; the message says what and where. */
 public final class WireException extends Exception {
--- a/src/main/java/lapislink/Brain.java
+++ b/src/main/java/cypressglade/core/Brain.java
@@ -1,4 +1,4 @@
-package lapislink;
+package cypressglade.core;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -10,10 +10,10 @@
 import java.util.TreeMap;
 
 /**
- * Every decision of lapislink; the interface is in Scheduler.java. After A. K. Singh, "Performance Isolation
- * in Cloud Storage Systems" (Waterloo, 2013): per node, held requests leave by earliest deadline under a
- * bound on the units out that follows the node's learned speed; what is predicted to miss is refused on
- * arrival. Exceptions are marked where they stand and their conditions are listed in docs/design.md.
+ * Every decision of cypressglade; the interface is in Scheduler.java. After A. K. Singh, "Performance
+ * Isolation in Cloud Storage Systems" (Waterloo, 2013): per node, held requests leave by earliest deadline
+ * under a bound on the units out that follows the node's learned speed; what is predicted to miss is refused
+ * on arrival. Exceptions are marked where they stand and their conditions are listed in docs/design.md.
  */
 public final class Brain implements Scheduler {
     private static final double US = 1e6; // microseconds in a second
--- a/src/main/java/lapislink/Scheduler.java
+++ b/src/main/java/cypressglade/core/Scheduler.java
@@ -1,4 +1,4 @@
-package lapislink;
+package cypressglade.core;
 
 import java.util.List;
 
--- a/src/test/java/lapislink/adapter/AdapterTest.java
+++ b/src/test/java/cypressglade/adapter/AdapterTest.java
@@ -1,4 +1,4 @@
-package lapislink.adapter;
+package cypressglade.adapter;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
--- a/src/test/java/lapislink/BrainTest.java
+++ b/src/test/java/cypressglade/core/BrainTest.java
@@ -1,22 +1,22 @@
-package lapislink;
-
-import static lapislink.Head.BULK;
-import static lapislink.Head.KEYED;
-import static lapislink.Head.LIMITED;
-import static lapislink.Head.ORDERED;
-import static lapislink.Head.PLAIN;
-import static lapislink.Head.READ;
-import static lapislink.Head.WRITE;
-import static lapislink.Head.entry;
+package cypressglade.core;
+
+import static cypressglade.core.Head.BULK;
+import static cypressglade.core.Head.KEYED;
+import static cypressglade.core.Head.LIMITED;
+import static cypressglade.core.Head.ORDERED;
+import static cypressglade.core.Head.PLAIN;
+import static cypressglade.core.Head.READ;
+import static cypressglade.core.Head.WRITE;
+import static cypressglade.core.Head.entry;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
-import lapislink.Scheduler.ListKind;
-import lapislink.Scheduler.Scope;
-import lapislink.Scheduler.State;
-import lapislink.Scheduler.Status;
+import cypressglade.core.Scheduler.ListKind;
+import cypressglade.core.Scheduler.Scope;
+import cypressglade.core.Scheduler.State;
+import cypressglade.core.Scheduler.Status;
 import org.junit.jupiter.api.Test;
 
 /** The mechanism and the rules, through the interface. */
--- a/src/test/java/lapislink/Head.java
+++ b/src/test/java/cypressglade/core/Head.java
@@ -1,19 +1,19 @@
-package lapislink;
+package cypressglade.core;
 
 import java.util.ArrayList;
 import java.util.List;
-import lapislink.Scheduler.Effect;
-import lapislink.Scheduler.Limits;
-import lapislink.Scheduler.ListKind;
-import lapislink.Scheduler.NodeEntry;
-import lapislink.Scheduler.Outcome;
-import lapislink.Scheduler.Plan;
-import lapislink.Scheduler.Request;
-import lapislink.Scheduler.RequestClass;
-import lapislink.Scheduler.Scope;
-import lapislink.Scheduler.Settings;
-import lapislink.Scheduler.State;
-import lapislink.Scheduler.Status;
+import cypressglade.core.Scheduler.Effect;
+import cypressglade.core.Scheduler.Limits;
+import cypressglade.core.Scheduler.ListKind;
+import cypressglade.core.Scheduler.NodeEntry;
+import cypressglade.core.Scheduler.Outcome;
+import cypressglade.core.Scheduler.Plan;
+import cypressglade.core.Scheduler.Request;
+import cypressglade.core.Scheduler.RequestClass;
+import cypressglade.core.Scheduler.Scope;
+import cypressglade.core.Scheduler.Settings;
+import cypressglade.core.Scheduler.State;
+import cypressglade.core.Scheduler.Status;
 
 /** One head under test: feeds events to a {@link Brain} and keeps what it orders, as short lines. */
 final class Head implements Scheduler.Actions {
--- a/src/test/java/lapislink/SourceLimitsTest.java
+++ b/src/test/java/cypressglade/core/SourceLimitsTest.java
@@ -1,4 +1,4 @@
-package lapislink;
+package cypressglade.core;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -12,7 +12,7 @@
 class SourceLimitsTest {
     private static final int MOST_LINES = 850;
     private static final int LONGEST_LINE = 110;
-    private static final Path BRAIN = Path.of("src/main/java/lapislink/Brain.java");
+    private static final Path BRAIN = Path.of("src/main/java/cypressglade/core/Brain.java");
 
     @Test
     void moduleStaysShort() throws IOException {
