Serve the platform's HTTP on Undertow and XNIO round the same Brain

One engine thread owns the module; each request is one blocking task; node connections are XNIO's, one request at a time, with the last byte's writing known exactly.

--- a/src/main/java/cypressglade/adapter/Main.java
+++ b/src/main/java/cypressglade/adapter/Adapter.java
@@ -8,6 +8,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import cypressglade.config.ConfigException;
+import cypressglade.config.SettingsParser;
 import cypressglade.core.Brain;
 import cypressglade.core.Scheduler;
 import cypressglade.core.Scheduler.ListKind;
@@ -17,30 +19,21 @@
 import cypressglade.core.Scheduler.Status;
 
 /** Joins the wire on standard input and output to one scheduler for each head. Decides nothing. */
-public final class Main implements FrameReader.Handler {
+public final class Adapter implements FrameReader.Handler {
     private static final int OK = 0;
     private static final int BROKEN_INPUT = 1;
-    private static final int USAGE = 2;
     private static final int BUFFER = 1 << 16;
 
     private final Map<Integer, Scheduler> heads = new HashMap<>();
     private final FrameWriter writer = new FrameWriter();
     private long clock;
 
-    private Main() { }
-
-    public static void main(String[] args) {
-        System.exit(run(args, System.in, System.out, System.err));
-    }
+    private Adapter() { }
 
     /** Runs the adapter until the input ends; returns the exit code. */
-    static int run(String[] args, InputStream in, OutputStream out, PrintStream errors) {
-        if (args.length != 1 || !args[0].equals("adapter")) {
-            errors.println("usage: java -jar cypressglade.jar adapter");
-            return USAGE;
-        }
+    public static int run(InputStream in, OutputStream out, PrintStream errors) {
         try {
-            new Main().serve(in, out);
+            new Adapter().serve(in, out);
             return OK;
         } catch (WireException | IOException broken) {
             errors.println("cypressglade: " + broken.getMessage());
@@ -67,7 +60,11 @@
 
     @Override
     public void open(int head, long seed, String settings) throws WireException {
-        heads.put(head, new Brain(clock, SettingsParser.parse(seed, settings), writer.of(head)));
+        try {
+            heads.put(head, new Brain(clock, SettingsParser.parseLines(seed, settings), writer.of(head)));
+        } catch (ConfigException bad) {
+            throw new WireException(bad.getMessage());
+        }
     }
 
     @Override
--- /dev/null
+++ b/src/main/java/cypressglade/cli/Main.java
@@ -0,0 +1,118 @@
+package cypressglade.cli;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
+import com.beust.jcommander.Parameters;
+import cypressglade.adapter.Adapter;
+import cypressglade.config.Config;
+import cypressglade.config.ConfigException;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.PrintStream;
+import java.nio.file.Path;
+import java.util.Optional;
+
+/** The command line. */
+public final class Main {
+    private static final int OK = 0;
+    private static final int FAILED = 1;
+    private static final int USAGE = 2;
+
+    private Main() { }
+
+    @Parameters(commandDescription = "run one scheduler until SIGTERM")
+    private static final class ServeCommand extends ConfigCommand { }
+
+    @Parameters(commandDescription = "speak the simulator's wire on standard input and output")
+    private static final class AdapterCommand { }
+
+    @Parameters(commandDescription = "print the version")
+    private static final class VersionCommand { }
+
+    @Parameters(commandDescription = "read the configuration and say what is wrong with it")
+    private static final class CheckConfigCommand extends ConfigCommand { }
+
+    /** Commands that take a configuration. */
+    private static class ConfigCommand {
+        @Parameter(names = "--config", description = "config.json; by default what ROUTER_CONFIG names")
+        private String config = System.getenv("ROUTER_CONFIG");
+
+        Config read() throws ConfigException {
+            if (config == null || config.isEmpty()) {
+                throw new ConfigException("no configuration: give --config or set ROUTER_CONFIG");
+            }
+            return Config.read(Path.of(config));
+        }
+    }
+
+    public static void main(String[] args) {
+        System.exit(run(args, System.in, System.out, System.err));
+    }
+
+    /** Runs a command; returns its exit code. */
+    static int run(String[] args, InputStream in, PrintStream out, PrintStream errors) {
+        ServeCommand serve = new ServeCommand();
+        CheckConfigCommand check = new CheckConfigCommand();
+        JCommander commands = JCommander.newBuilder().programName("cypressglade").addCommand("serve", serve)
+                .addCommand("adapter", new AdapterCommand()).addCommand("check-config", check)
+                .addCommand("version", new VersionCommand()).build();
+        try {
+            commands.parse(args);
+            switch (Optional.ofNullable(commands.getParsedCommand()).orElse("")) {
+                case "serve" -> {
+                    return serve(serve.read(), out);
+                }
+                case "adapter" -> {
+                    return Adapter.run(in, out, errors);
+                }
+                case "check-config" -> {
+                    Config config = check.read();
+                    out.println(config.name() + ": usable; " + config.settings().classes().size()
+                            + " classes, " + config.settings().plans().size() + " plans, "
+                            + config.known().entries().size() + " nodes known");
+                    return OK;
+                }
+                case "version" -> {
+                    out.println("cypressglade " + Optional.ofNullable(
+                            Main.class.getPackage().getImplementationVersion()).orElse("(unpacked)"));
+                    return OK;
+                }
+                default -> throw new ParameterException("no command given");
+            }
+        } catch (ParameterException wrong) {
+            errors.println("cypressglade: " + wrong.getMessage());
+            StringBuilder usage = new StringBuilder();
+            commands.getUsageFormatter().usage(usage);
+            errors.print(usage);
+            return USAGE;
+        } catch (ConfigException bad) {
+            errors.println("cypressglade: " + bad.getMessage());
+            return USAGE;
+        } catch (IOException failed) {
+            errors.println("cypressglade: " + failed.getMessage());
+            return FAILED;
+        }
+    }
+
+    private static int serve(Config config, PrintStream out) throws IOException {
+        Serve scheduler = new Serve(config);
+        out.println("listening on " + scheduler.address());
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+            try {
+                scheduler.drain();
+            } catch (InterruptedException cut) {
+                Thread.currentThread().interrupt();
+            }
+            out.print(scheduler.counters().text());
+            out.flush();
+            Runtime.getRuntime().halt(OK); // a planned stop is no failure, whatever the signal's own code
+        }, "stop"));
+        try {
+            Thread.currentThread().join();
+        } catch (InterruptedException end) {
+            Thread.currentThread().interrupt();
+        }
+        return OK;
+    }
+}
--- /dev/null
+++ b/src/main/java/cypressglade/cli/Serve.java
@@ -0,0 +1,90 @@
+package cypressglade.cli;
+
+import cypressglade.config.Config;
+import cypressglade.core.Counters;
+import cypressglade.core.Engine;
+import cypressglade.core.NodeDirectory;
+import cypressglade.core.RequestPool;
+import cypressglade.core.Scheduler.RequestClass;
+import cypressglade.core.Time;
+import cypressglade.http.ClientListener;
+import cypressglade.http.DiscoveryWatch;
+import cypressglade.http.NodeClient;
+import cypressglade.net.Loop;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.time.Instant;
+
+/** One real scheduler: its parts, from start to stop. */
+public final class Serve implements AutoCloseable {
+    /** The README's arithmetic rests on these. */
+    private static final int MOST_OPEN = 384;
+    private static final int MOST_NODE_CONNECTIONS = 420;
+    private static final int MOST_CLIENT_CONNECTIONS = 460;
+    private static final int STACK_BYTES = 192 * 1024;
+
+    /** New connections go on coming for up to 0.4 s after the signal to stop. */
+    private static final Duration ACCEPT_ON = Duration.ofMillis(450);
+    /** What comes within 0.7 s of the signal is still served. */
+    private static final Duration SERVE_ON = Duration.ofMillis(800);
+    private static final Duration LOOK = Duration.ofMillis(10);
+    private static final Duration SETTLE = Duration.ofMillis(50);
+
+    private final Config config;
+    private final Counters counters = new Counters();
+    private final Loop loop;
+    private final Engine engine;
+    private final RequestPool pool;
+    private final ClientListener clients;
+    private volatile boolean ready;
+
+    public Serve(Config config) throws IOException {
+        this.config = config;
+        loop = new Loop();
+        NodeDirectory directory = new NodeDirectory();
+        engine = new Engine(config.settings(), directory, counters);
+        pool = new RequestPool(MOST_OPEN, STACK_BYTES);
+        NodeClient nodes = new NodeClient(loop, directory, counters, config.connectTimeout(),
+                config.idleLimit(), MOST_NODE_CONNECTIONS);
+        engine.start(nodes);
+        engine.told(config.known());
+        new DiscoveryWatch(loop, config.discovery(), config.nodeLists(), directory, engine, counters).start();
+        clients = new ClientListener(loop, config.listen(), config.settings(), engine, counters, pool, nodes,
+                () -> ready, MOST_CLIENT_CONNECTIONS);
+        clients.start();
+        ready = true;
+    }
+
+    public InetSocketAddress address() {
+        return clients.address();
+    }
+
+    public Counters counters() {
+        return counters;
+    }
+
+    /** Stops as a planned restart wants it: all that was taken is answered first. */
+    public void drain() throws InterruptedException {
+        Instant told = Time.now();
+        ready = false;
+        Thread.sleep(ACCEPT_ON.toMillis());
+        clients.leave();
+        Thread.sleep(Time.until(told.plus(SERVE_ON)).toMillis());
+        Duration longest = config.settings().classes().stream().map(RequestClass::deadlineUs)
+                .map(cypressglade.core.Micros::span).max(Duration::compareTo).orElse(Duration.ZERO);
+        Instant last = told.plus(SERVE_ON).plus(longest);
+        while (pool.open() > 0 && Time.now().isBefore(last)) {
+            Thread.sleep(LOOK.toMillis());
+        }
+        Thread.sleep(SETTLE.toMillis());
+    }
+
+    @Override
+    public void close() {
+        clients.close();
+        pool.close();
+        engine.close();
+        loop.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/cypressglade/config/Config.java
@@ -0,0 +1,70 @@
+package cypressglade.config;
+
+import cypressglade.core.Micros;
+import cypressglade.core.NodeList;
+import cypressglade.core.Scheduler.Settings;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** What a scheduler is told at its start, out of config.json. */
+public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, NodeList known,
+        Settings settings, Duration connectTimeout, Duration idleLimit, NodeListParser nodeLists) {
+    private static final String SETTINGS = "settings.";
+    private static final Duration DEFAULT_CONNECT = Duration.ofMillis(250);
+    private static final Duration DEFAULT_IDLE = Duration.ofSeconds(30);
+
+    public static Config read(Path path) throws ConfigException {
+        return parse(path.toString(), bytes(path));
+    }
+
+    static byte[] bytes(Path path) throws ConfigException {
+        try {
+            return Files.readAllBytes(path);
+        } catch (IOException unreadable) {
+            throw new ConfigException(path + ": cannot be read: " + unreadable.getClass().getSimpleName());
+        }
+    }
+
+    static Config parse(String what, byte[] text) throws ConfigException {
+        Map<String, String> all = JsonValues.read(what, text, 0, text.length);
+        Values values = new Values(what, all);
+        Map<String, String> settings = new HashMap<>();
+        all.forEach((path, value) -> {
+            if (path.startsWith(SETTINGS)) {
+                settings.put(path.substring(SETTINGS.length()), value);
+            }
+        });
+        long seed;
+        try {
+            seed = Long.parseUnsignedLong(values.text("seed"), 16);
+        } catch (NumberFormatException notHex) {
+            throw values.bad("seed", "is not a hexadecimal number");
+        }
+        NodeListParser lists = new NodeListParser(List.of(values.text(SETTINGS + "zones", "").split(",")),
+                List.of(values.text(SETTINGS + "kinds", "").split(",")));
+        Settings parsed;
+        try {
+            parsed = SettingsParser.parse(seed, settings);
+        } catch (ConfigException bad) {
+            throw new ConfigException(what + ": " + bad.getMessage());
+        }
+        if (parsed.classes().isEmpty() || parsed.plans().isEmpty()) {
+            throw values.bad("settings", "names no categories or no plans");
+        }
+        return new Config(values.text("name"), values.address("listen"), values.address("discovery"),
+                lists.parse(values, "known."), parsed,
+                span(values, "settings.limits.connectTimeoutUs", DEFAULT_CONNECT),
+                span(values, "settings.limits.connIdleUs", DEFAULT_IDLE), lists);
+    }
+
+    private static Duration span(Values values, String path, Duration otherwise) throws ConfigException {
+        float micros = values.number(path, 0);
+        return micros > 0 ? Micros.span((long) micros) : otherwise;
+    }
+}
--- a/src/main/java/cypressglade/adapter/SettingsParser.java
+++ b/src/main/java/cypressglade/config/SettingsParser.java
@@ -1,4 +1,4 @@
-package cypressglade.adapter;
+package cypressglade.config;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -12,11 +12,17 @@
 import cypressglade.core.Scheduler.Scope;
 import cypressglade.core.Scheduler.Settings;
 
-/** Reads the path=value lines of an instance's first message. Unknown keys are skipped, absent ones are 0. */
-final class SettingsParser {
-    private final Map<String, String> values = new HashMap<>();
+/** Reads the settings, by path, of an instance's first message. Unknown keys are skipped, absent ones are 0. */
+public final class SettingsParser {
+    private final Map<String, String> values;
 
-    private SettingsParser(String text) throws WireException {
+    private SettingsParser(Map<String, String> values) {
+        this.values = values;
+    }
+
+    /** The settings as path=value lines. */
+    public static Settings parseLines(long seed, String text) throws ConfigException {
+        Map<String, String> values = new HashMap<>();
         int line = 0;
         for (String row : text.split("\n")) {
             line++;
@@ -25,17 +31,19 @@
             }
             int equals = row.indexOf('=');
             if (equals <= 0) {
-                throw new WireException("settings line " + line + " is not path=value: " + row);
+                throw new ConfigException("settings line " + line + " is not path=value: " + row);
             }
             values.put(row.substring(0, equals).trim(), row.substring(equals + 1).trim());
         }
+        return parse(seed, values);
     }
 
-    static Settings parse(long seed, String text) throws WireException {
-        return new SettingsParser(text).settings(seed);
+    /** The settings by path. */
+    public static Settings parse(long seed, Map<String, String> values) throws ConfigException {
+        return new SettingsParser(values).settings(seed);
     }
 
-    private Settings settings(long seed) throws WireException {
+    private Settings settings(long seed) throws ConfigException {
         return new Settings(seed, whole("rank"), Math.max(1, whole("balancers")), whole("zone"),
                 text("discovery").equals("on_request"), time("tickUs"), classes(), plans(),
                 list("report.names"), limits(), number("specifics.unitMean"), number("specifics.unitsTop"),
@@ -43,7 +51,7 @@
                 flag("specifics.countsOthers"));
     }
 
-    private Limits limits() throws WireException {
+    private Limits limits() throws ConfigException {
         return new Limits(whole("limits.attemptsCap"), flag("limits.mayCancel"), flag("limits.probes"),
                 flag("limits.peers"), flag("limits.secondCopies"), flag("limits.retryAfter"),
                 time("limits.maxRetryAfterUs"), time("rules.stopSendingWithinUs"), time("rules.askWithinUs"),
@@ -54,7 +62,7 @@
                 time("rules.fallUs"), number("specifics.youngLimit"), time("rules.turnGapUs"));
     }
 
-    private List<RequestClass> classes() throws WireException {
+    private List<RequestClass> classes() throws ConfigException {
         List<RequestClass> classes = new ArrayList<>();
         List<String> writes = list("specifics.changesData");
         for (int i = 0; i < whole("categories.count"); i++) {
@@ -69,7 +77,7 @@
         return List.copyOf(classes);
     }
 
-    private List<Plan> plans() throws WireException {
+    private List<Plan> plans() throws ConfigException {
         List<Plan> plans = new ArrayList<>();
         for (int i = 0; i < whole("plans.count"); i++) {
             String at = "plans." + i + ".";
@@ -80,7 +88,7 @@
         return List.copyOf(plans);
     }
 
-    private Effect effect(String path) throws WireException {
+    private Effect effect(String path) throws ConfigException {
         return switch (text(path)) {
             case "read_like" -> Effect.SAFE;
             case "idempotency_key" -> Effect.KEYED;
@@ -89,7 +97,7 @@
         };
     }
 
-    private Scope scope(String path) throws WireException {
+    private Scope scope(String path) throws ConfigException {
         return switch (text(path)) {
             case "all", "" -> Scope.ALL;
             case "zone" -> Scope.ZONE;
@@ -107,7 +115,7 @@
         return text.isEmpty() ? List.of() : List.of(text.split(","));
     }
 
-    private boolean flag(String path) throws WireException {
+    private boolean flag(String path) throws ConfigException {
         return switch (text(path).toLowerCase(Locale.ROOT)) {
             case "true" -> true;
             case "false", "" -> false;
@@ -115,7 +123,7 @@
         };
     }
 
-    private int whole(String path) throws WireException {
+    private int whole(String path) throws ConfigException {
         double value = number(path);
         if (value != Math.rint(value) || Math.abs(value) > 1_000_000_000) {
             throw bad(path);
@@ -123,11 +131,11 @@
         return (int) value;
     }
 
-    private long time(String path) throws WireException {
+    private long time(String path) throws ConfigException {
         return (long) number(path);
     }
 
-    private double number(String path) throws WireException {
+    private double number(String path) throws ConfigException {
         String text = text(path);
         if (text.isEmpty()) {
             return 0;
@@ -143,7 +151,7 @@
         throw bad(path);
     }
 
-    private WireException bad(String path) {
-        return new WireException("setting " + path + " has an unusable value: " + text(path));
+    private ConfigException bad(String path) {
+        return new ConfigException("setting " + path + " has an unusable value: " + text(path));
     }
 }
--- /dev/null
+++ b/src/main/java/cypressglade/core/Engine.java
@@ -0,0 +1,210 @@
+package cypressglade.core;
+
+import cypressglade.core.NodeLink.Ending;
+import cypressglade.core.Scheduler.Actions;
+import cypressglade.core.Scheduler.Outcome;
+import cypressglade.core.Scheduler.Settings;
+import cypressglade.core.Scheduler.Status;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/**
+ * Runs the decision module on one thread, which owns it, its timers and the table of open requests. All
+ * others post events; what the module orders goes to the request's own task. Decides nothing.
+ */
+public final class Engine implements AutoCloseable {
+    private static final float[] NO_LOAD = {};
+    private static final System.Logger LOG = System.getLogger(Engine.class.getName());
+
+    private final LinkedBlockingQueue<Runnable> events = new LinkedBlockingQueue<>();
+    private final PriorityQueue<Timer> timers = new PriorityQueue<>(
+            Comparator.comparing(Timer::due).thenComparing(Timer::number));
+    private final Map<Long, RequestLife<?>> open = new HashMap<>();
+    private final NodeDirectory directory;
+    private final Counters counters;
+    private final Scheduler scheduler;
+    private final Thread thread = new Thread(this::run, "engine");
+    private Consumer<Probe> prober = probe -> probe.ended(Ending.of(Status.CONNECT_FAILED));
+    private long lastId;
+    private long lastTimer;
+    private volatile boolean closing;
+
+    private record Timer(Instant due, long number, long token) { }
+
+    /** A probe that the module ordered; its end is told once. */
+    public final class Probe {
+        private final long node;
+        private final Instant sent = Time.now();
+
+        private Probe(long node) {
+            this.node = node;
+        }
+
+        public long node() {
+            return node;
+        }
+
+        public void ended(Ending ending) {
+            long latency = Micros.of(Duration.between(sent, Time.now()));
+            post(() -> scheduler.probed(now(), node, ending.status(), latency, NO_LOAD));
+        }
+    }
+
+    public Engine(Settings settings, NodeDirectory directory, Counters counters) {
+        this.directory = directory;
+        this.counters = counters;
+        this.scheduler = new Brain(now(), settings, new Orders());
+        thread.setDaemon(true);
+    }
+
+    /** Starts the thread; probes go through the given link. */
+    public void start(NodeLink<?> link) {
+        prober = probe -> link.probe(probe.node(), probe::ended);
+        thread.start();
+    }
+
+    /** Takes in what discovery told; it counts for the links at once. */
+    public void told(NodeList list) {
+        var entries = directory.update(list);
+        counters.add(Counters.Name.LISTS);
+        post(() -> scheduler.nodes(now(), NodeDirectory.kind(list), entries));
+    }
+
+    void taken(RequestLife<?> life, IoRequest request) {
+        post(() -> {
+            life.id = ++lastId;
+            open.put(life.id, life);
+            scheduler.request(now(), request.toModule(life.id));
+        });
+    }
+
+    /** How the given attempt ended; {@code over} where the request is finished with it. */
+    void ended(RequestLife<?> life, int attempt, long node, Status status, Duration latency, boolean over) {
+        post(() -> {
+            life.ended++;
+            if (over) {
+                open.remove(life.id);
+            }
+            scheduler.outcome(now(), new Outcome(life.id, attempt, node, status, Micros.of(latency), over,
+                    0, 0, NO_LOAD));
+        });
+    }
+
+    /**
+     * Nothing is owed any more. Where no attempt is out, one may still have been ordered that its task will
+     * not make: it never ran, and the module must not wait for it.
+     */
+    void withdrawn(RequestLife<?> life, boolean attemptOut) {
+        post(() -> {
+            open.remove(life.id);
+            scheduler.withdrawn(now(), life.id);
+            if (!attemptOut && life.ordered > life.ended) {
+                scheduler.outcome(now(), new Outcome(life.id, life.ordered - 1, life.node, Status.MOOT, 0,
+                        true, 0, 0, NO_LOAD));
+            }
+        });
+    }
+
+    private static long now() {
+        return Micros.of(Time.now());
+    }
+
+    private void post(Runnable event) {
+        events.add(event);
+    }
+
+    private void run() {
+        while (!closing) {
+            try {
+                Timer first = timers.peek();
+                Duration wait = first == null ? Duration.ofDays(1) : Time.until(first.due());
+                Runnable event = wait.isZero() ? events.poll() : events.poll(wait.toNanos(), TimeUnit.NANOSECONDS);
+                if (event != null) {
+                    event.run();
+                }
+                while (!timers.isEmpty() && Time.until(timers.peek().due()).isZero()) {
+                    scheduler.timer(now(), timers.poll().token());
+                }
+            } catch (InterruptedException end) {
+                return;
+            } catch (RuntimeException fault) {
+                // One faulty event must not take the others' answers: the task of its request still answers
+                // by the deadline.
+                counters.add(Counters.Name.MODULE_FAULTS);
+                LOG.log(System.Logger.Level.ERROR, "decision module", fault);
+            }
+        }
+    }
+
+    @Override
+    public void close() {
+        closing = true;
+        thread.interrupt();
+    }
+
+    /** What the module orders, on the engine's thread. */
+    private final class Orders implements Actions {
+        @Override
+        public void send(long requestId, long node, long timeoutUs) {
+            RequestLife<?> life = open.get(requestId);
+            life.ordered++;
+            life.node = node;
+            life.signal(new RequestLife.Send(node, Micros.span(timeoutUs)));
+        }
+
+        @Override
+        public void refuse(long requestId, long retryAfterUs) {
+            finish(requestId, new RequestLife.Refuse(Micros.span(retryAfterUs)));
+        }
+
+        @Override
+        public void fail(long requestId) {
+            finish(requestId, new RequestLife.Fail());
+        }
+
+        @Override
+        public void cancel(long requestId, int attempt) {
+            tell(requestId, new RequestLife.Cancel(attempt));
+        }
+
+        @Override
+        public void probe(long node) {
+            counters.add(Counters.Name.PROBES);
+            prober.accept(new Probe(node));
+        }
+
+        @Override
+        public void timer(long delayUs, long token) {
+            timers.add(new Timer(Time.now().plus(Micros.span(delayUs)), ++lastTimer, token));
+        }
+
+        @Override
+        public void tell(long toRank, byte[] text) {
+            throw new UnsupportedOperationException("schedulers have no way to talk to each other");
+        }
+
+        @Override
+        public void watch(boolean on) {
+            // Discovery is always watched.
+        }
+
+        private void tell(long requestId, RequestLife.Signal signal) {
+            RequestLife<?> life = open.get(requestId);
+            if (life != null) {
+                life.signal(signal);
+            }
+        }
+
+        private void finish(long requestId, RequestLife.Signal signal) {
+            tell(requestId, signal);
+            open.remove(requestId);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/cypressglade/core/IoRequest.java
@@ -0,0 +1,14 @@
+package cypressglade.core;
+
+import java.time.Instant;
+
+/** What the core needs to know of a request, whichever wire it came by. */
+public record IoRequest(int shard, int requestClass, int plan, int hosts, boolean repeat, boolean write,
+        long volume, long key, float units, Instant expiry) {
+
+    /** The module's form of it. */
+    Scheduler.Request toModule(long id) {
+        return new Scheduler.Request(id, shard, requestClass, plan, hosts, repeat, write, volume, key, units,
+                Micros.of(Time.until(expiry)));
+    }
+}
--- /dev/null
+++ b/src/main/java/cypressglade/core/NodeList.java
@@ -0,0 +1,11 @@
+package cypressglade.core;
+
+import java.time.Instant;
+import java.util.List;
+
+/** The node list, or a change to it, as discovery told it. */
+public record NodeList(long version, boolean full, List<Entry> entries) {
+    /** One node; the start is the epoch where it was long ago. */
+    public record Entry(String id, String address, int zone, int kind, int cell, Scheduler.State state,
+            float weight, Instant started) { }
+}
--- /dev/null
+++ b/src/main/java/cypressglade/core/RequestLife.java
@@ -0,0 +1,142 @@
+package cypressglade.core;
+
+import cypressglade.core.Counters.Name;
+import cypressglade.core.NodeLink.Attempt;
+import cypressglade.core.NodeLink.Ending;
+import cypressglade.core.Scheduler.Status;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * One request from its taking to its one answer, read from top to bottom in {@link #run}. It runs as a
+ * blocking task; its links do not block.
+ */
+public final class RequestLife<W> implements Runnable {
+    /** How long past the end of a request the module's last word is waited for. */
+    private static final Duration ORDER_GRACE = Duration.ofMillis(15);
+
+    private final Engine engine;
+    private final Counters counters;
+    private final IoRequest request;
+    private final W work;
+    private final Caller caller;
+    private final NodeLink<W> link;
+    private final LinkedBlockingQueue<Signal> signals = new LinkedBlockingQueue<>();
+    private boolean gone;
+
+    // The engine's alone: the number that the module knows the request by, and what was ordered and ended.
+    long id;
+    long node;
+    int ordered;
+    int ended;
+
+    /** What a task can be told: an order of the module, the end of its attempt, or that its client is gone. */
+    sealed interface Signal { }
+
+    record Send(long node, Duration limit) implements Signal { }
+
+    record Refuse(Duration retryAfter) implements Signal { }
+
+    record Fail() implements Signal { }
+
+    record Cancel(int attempt) implements Signal { }
+
+    private record Ended(Ending ending) implements Signal { }
+
+    private record Gone() implements Signal { }
+
+    private record Late() implements Signal { }
+
+    public RequestLife(Engine engine, Counters counters, IoRequest request, W work, Caller caller,
+            NodeLink<W> link) {
+        this.engine = engine;
+        this.counters = counters;
+        this.request = request;
+        this.work = work;
+        this.caller = caller;
+        this.link = link;
+    }
+
+    void signal(Signal signal) {
+        signals.add(signal);
+    }
+
+    /** The client went away: the module hears of it and nothing is answered. */
+    public void clientGone() {
+        signal(new Gone());
+    }
+
+    @Override
+    public void run() {
+        engine.taken(this, request);
+        for (int attempt = 0;; attempt++) {
+            Signal order = await(request.expiry().plus(ORDER_GRACE));
+            if (order instanceof Send send) {
+                counters.add(Name.SENT);
+                Instant sent = Time.now();
+                Ending ending = attempt(send, sent);
+                counters.ended(ending.status());
+                boolean served = ending.status() == Status.OK;
+                if (served && !gone) {
+                    counters.add(Name.ANSWERED_SERVED);
+                    caller.served(ending.answer());
+                }
+                engine.ended(this, attempt, send.node(), ending.status(), Duration.between(sent, Time.now()),
+                        served || gone);
+                if (served || gone) {
+                    return;
+                }
+            } else if (order instanceof Refuse refuse) {
+                counters.add(Name.ANSWERED_REFUSED);
+                caller.refused(refuse.retryAfter());
+                return;
+            } else if (order instanceof Fail) {
+                counters.add(Name.ANSWERED_FAILED);
+                caller.failed();
+                return;
+            } else if (order instanceof Gone) {
+                engine.withdrawn(this, false);
+                return;
+            } else if (order instanceof Late) {
+                counters.add(Name.ANSWERED_BY_DEADLINE);
+                caller.failed();
+                engine.withdrawn(this, false);
+                return;
+            }
+        }
+    }
+
+    /** Waits for the end of one attempt, which comes by its limit; by then no connection carries it. */
+    private Ending attempt(Send send, Instant sent) {
+        Instant until = request.expiry();
+        if (!send.limit().isZero() && sent.plus(send.limit()).isBefore(until)) {
+            until = sent.plus(send.limit());
+        }
+        Attempt out = link.send(send.node(), work, until, ending -> signal(new Ended(ending)));
+        while (true) {
+            Signal signal = await(Instant.MAX);
+            if (signal instanceof Ended end) {
+                return end.ending();
+            } else if (signal instanceof Cancel) {
+                out.abandon();
+            } else if (signal instanceof Gone) {
+                gone = true; // the attempt runs on: what becomes of it still tells of its node
+                engine.withdrawn(this, true);
+            }
+        }
+    }
+
+    private Signal await(Instant until) {
+        try {
+            if (until.equals(Instant.MAX)) {
+                return signals.take();
+            }
+            Signal signal = signals.poll(Micros.of(Time.until(until)), TimeUnit.MICROSECONDS);
+            return signal == null ? new Late() : signal;
+        } catch (InterruptedException end) {
+            return new Late();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/cypressglade/core/RequestPool.java
@@ -0,0 +1,42 @@
+package cypressglade.core;
+
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.SynchronousQueue;
+import java.util.concurrent.ThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+
+/** The tasks of the open requests: each blocks on its own thread, and their number is bounded. */
+public final class RequestPool implements AutoCloseable {
+    private static final long KEEP_SECONDS = 20;
+
+    private final ThreadPoolExecutor pool;
+
+    public RequestPool(int most, long stackBytes) {
+        pool = new ThreadPoolExecutor(0, most, KEEP_SECONDS, TimeUnit.SECONDS, new SynchronousQueue<>(),
+                task -> {
+                    Thread thread = new Thread(null, task, "request", stackBytes);
+                    thread.setDaemon(true);
+                    return thread;
+                });
+    }
+
+    /** Starts a request's task; false when there is no room, and then nothing has happened to it. */
+    public boolean start(RequestLife<?> life) {
+        try {
+            pool.execute(life);
+            return true;
+        } catch (RejectedExecutionException full) {
+            return false;
+        }
+    }
+
+    /** How many requests are open. */
+    public int open() {
+        return pool.getActiveCount();
+    }
+
+    @Override
+    public void close() {
+        pool.shutdownNow();
+    }
+}
--- /dev/null
+++ b/src/main/java/cypressglade/http/DiscoveryWatch.java
@@ -0,0 +1,136 @@
+package cypressglade.http;
+
+import cypressglade.config.ConfigException;
+import cypressglade.config.NodeListParser;
+import cypressglade.core.Counters;
+import cypressglade.core.Engine;
+import cypressglade.core.NodeDirectory;
+import cypressglade.core.Time;
+import cypressglade.net.Loop;
+import cypressglade.net.Wire;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+
+/** Watches discovery and tells the engine; connects again with the last version after any break. */
+public final class DiscoveryWatch {
+    private static final Duration AGAIN = Duration.ofMillis(200);
+    private static final Duration LOOK = Duration.ofSeconds(1);
+    /** A line comes every 2 s even while nothing changes; the agent is silent while discovery is down. */
+    private static final Duration SILENCE = Duration.ofSeconds(7);
+    private static final int MOST_LINE = 1 << 20;
+    private static final System.Logger LOG = System.getLogger(DiscoveryWatch.class.getName());
+
+    private final Loop loop;
+    private final InetSocketAddress address;
+    private final NodeListParser lists;
+    private final NodeDirectory directory;
+    private final Engine engine;
+    private final Counters counters;
+    private Watch current;
+
+    public DiscoveryWatch(Loop loop, InetSocketAddress address, NodeListParser lists, NodeDirectory directory,
+            Engine engine, Counters counters) {
+        this.loop = loop;
+        this.address = address;
+        this.lists = lists;
+        this.directory = directory;
+        this.engine = engine;
+        this.counters = counters;
+    }
+
+    public void start() {
+        loop.execute(() -> {
+            open();
+            look();
+        });
+    }
+
+    private void open() {
+        Watch watch = new Watch();
+        current = watch;
+        loop.dial(address, watch::connected, () -> watch.broken("no connection"));
+    }
+
+    private void look() {
+        if (current != null && current.heard.plus(SILENCE).isBefore(Time.now())) {
+            current.broken("silent");
+        }
+        loop.after(LOOK, this::look);
+    }
+
+    /** One watch, on one connection. */
+    private final class Watch implements Wire.Listener {
+        private final ResponseParser parser = new ResponseParser(this::take);
+        private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+        private Wire wire;
+        private Instant heard = Time.now();
+        private String fault;
+
+        void connected(Wire up) {
+            if (current != this) {
+                up.close();
+                return;
+            }
+            wire = up;
+            wire.listen(this);
+            wire.send(ResponseParser.ascii("GET /v1/servers?stream=1&index=" + directory.version()
+                    + " HTTP/1.1\r\nHost: discovery\r\n\r\n"));
+        }
+
+        @Override
+        public void received(ByteBuffer in) throws IOException {
+            heard = Time.now();
+            boolean whole = parser.feed(in);
+            if (fault != null || whole) {
+                throw new IOException(fault == null ? "ended" : fault);
+            }
+        }
+
+        @Override
+        public void ended() {
+            broken(fault == null ? "ended" : fault);
+        }
+
+        private void take(ByteBuffer part) {
+            while (part.hasRemaining() && fault == null) {
+                byte next = part.get();
+                if (next != '\n') {
+                    line.write(next);
+                    fault = line.size() > MOST_LINE ? "a line is too long" : null;
+                } else {
+                    object(line.toByteArray());
+                    line.reset();
+                }
+            }
+        }
+
+        private void object(byte[] text) {
+            if (parser.status() != 200) {
+                fault = "status " + parser.status();
+            } else if (!new String(text, StandardCharsets.ISO_8859_1).isBlank()) {
+                try {
+                    engine.told(lists.parse(text, 0, text.length));
+                } catch (ConfigException bad) {
+                    fault = bad.getMessage();
+                }
+            }
+        }
+
+        private void broken(String why) {
+            if (current == this) {
+                current = null;
+                if (wire != null) {
+                    wire.close();
+                }
+                counters.add(Counters.Name.WATCH_BROKEN);
+                LOG.log(System.Logger.Level.INFO, "discovery watch: {0}", why);
+                loop.after(AGAIN, DiscoveryWatch.this::open);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/cypressglade/http/RequestParser.java
@@ -0,0 +1,119 @@
+package cypressglade.http;
+
+import cypressglade.core.IoRequest;
+import cypressglade.core.Scheduler.Plan;
+import cypressglade.core.Scheduler.RequestClass;
+import cypressglade.core.Scheduler.Settings;
+import io.undertow.util.HeaderMap;
+import io.undertow.util.HttpString;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** Reads what the core needs to know out of a client's request. */
+final class RequestParser {
+    static final HttpString TRACE_ID = new HttpString("X-Trace-Id");
+    private static final HttpString TIER = new HttpString("Tier");
+    private static final HttpString EXPIRES = new HttpString("X-Expires-In-Ms");
+    private static final HttpString IO_INFO = new HttpString("IO-Info");
+    private static final HttpString SECOND_TRY = new HttpString("X-Second-Try");
+    private static final Pattern PATH = Pattern.compile("/([^/]+)/([^/]+)/([^/]+)");
+    private static final Pattern HEX = Pattern.compile("[0-9a-fA-F]{16}");
+    private static final Pattern INFO = Pattern.compile("(units|shard|hosts)=(-?[0-9.]{1,12})");
+    private static final Pattern TOKEN = Pattern.compile("[!-~]{1,128}");
+    /** Kept back of the client's time, so that the answer's last byte comes before it runs out. */
+    private static final Duration MARGIN = Duration.ofMillis(30);
+    private static final long MOST_MS = Duration.ofHours(1).toMillis();
+
+    private final Map<String, Integer> classes = new HashMap<>();
+    private final Map<String, Integer> plans = new HashMap<>();
+
+    /** A request that is not passed on, and the status that says why. */
+    static final class Rejected extends Exception {
+        private static final long serialVersionUID = 1L;
+        private final int status;
+
+        Rejected(int status, String why) {
+            super(why);
+            this.status = status;
+        }
+
+        int status() {
+            return status;
+        }
+    }
+
+    RequestParser(Settings settings) {
+        for (RequestClass type : settings.classes()) {
+            classes.put(type.name(), classes.size());
+        }
+        for (Plan plan : settings.plans()) {
+            plans.put(plan.name(), plans.size());
+        }
+    }
+
+    IoRequest parse(String method, String path, HeaderMap headers, Instant arrived) throws Rejected {
+        Matcher parts = PATH.matcher(path);
+        if (!parts.matches() || !classes.containsKey(parts.group(1))) {
+            throw new Rejected(404, "no such path");
+        }
+        if (!method.equals("GET") && !method.equals("PUT")) {
+            throw new Rejected(405, "neither GET nor PUT");
+        }
+        Integer plan = plans.get(header(headers, TIER));
+        if (plan == null) {
+            throw new Rejected(400, "Tier names no plan");
+        }
+        if (!TOKEN.matcher(header(headers, TRACE_ID)).matches()) {
+            throw new Rejected(400, "X-Trace-Id is not usable");
+        }
+        Map<String, Float> info = info(header(headers, IO_INFO));
+        long left = whole(header(headers, EXPIRES));
+        return new IoRequest(info.get("shard").intValue(), classes.get(parts.group(1)), plan,
+                info.get("hosts").intValue(), "1".equals(headers.getFirst(SECOND_TRY)), method.equals("PUT"),
+                hex(parts.group(2)), hex(parts.group(3)), info.get("units"),
+                arrived.plusMillis(left).minus(MARGIN));
+    }
+
+    private static String header(HeaderMap headers, HttpString name) throws Rejected {
+        if (headers.count(name) != 1) {
+            throw new Rejected(400, name + " is missing or there twice");
+        }
+        return headers.getFirst(name);
+    }
+
+    private static long hex(String text) throws Rejected {
+        if (!HEX.matcher(text).matches()) {
+            throw new Rejected(400, "not 16 hexadecimal digits in the path");
+        }
+        return Long.parseUnsignedLong(text, 16);
+    }
+
+    private static long whole(String text) throws Rejected {
+        if (!text.matches("[0-9]{1,9}") || Long.parseLong(text) > MOST_MS) {
+            throw new Rejected(400, "X-Expires-In-Ms is not usable");
+        }
+        return Long.parseLong(text);
+    }
+
+    private static Map<String, Float> info(String text) throws Rejected {
+        Map<String, Float> info = new HashMap<>();
+        try {
+            for (String item : text.split(",")) {
+                Matcher pair = INFO.matcher(item.trim());
+                if (pair.matches()) {
+                    info.put(pair.group(1), Float.parseFloat(pair.group(2)));
+                }
+            }
+        } catch (NumberFormatException notANumber) {
+            throw new Rejected(400, "IO-Info holds no number");
+        }
+        if (info.size() != 3 || info.get("units") <= 0 || info.get("hosts") < 1 || info.get("shard") < -1) {
+            throw new Rejected(400, "IO-Info must tell units, shard and hosts");
+        }
+        return info;
+    }
+}
--- /dev/null
+++ b/src/main/java/cypressglade/net/Loop.java
@@ -0,0 +1,103 @@
+package cypressglade.net;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.xnio.ChannelListeners;
+import org.xnio.IoFuture;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.StreamConnection;
+import org.xnio.Xnio;
+import org.xnio.XnioExecutor;
+import org.xnio.XnioIoThread;
+import org.xnio.XnioWorker;
+import org.xnio.channels.AcceptingChannel;
+
+/** The program's one I/O thread: what runs on it never blocks, and the state of its wires is its alone. */
+public final class Loop implements AutoCloseable {
+    private static final int BUFFER = 16 * 1024;
+    private static final int BACKLOG = 512;
+    private static final OptionMap TCP = OptionMap.create(Options.TCP_NODELAY, true);
+
+    private final XnioWorker worker;
+    private final XnioIoThread io;
+    final ByteBuffer input = ByteBuffer.allocateDirect(BUFFER);
+
+    public Loop() throws IOException {
+        worker = Xnio.getInstance().createWorker(OptionMap.builder().set(Options.WORKER_IO_THREADS, 1)
+                .set(Options.WORKER_TASK_CORE_THREADS, 1).set(Options.WORKER_TASK_MAX_THREADS, 1)
+                .set(Options.THREAD_DAEMON, true).set(Options.WORKER_NAME, "io").getMap());
+        io = worker.getIoThread();
+    }
+
+    public XnioWorker worker() {
+        return worker;
+    }
+
+    public void execute(Runnable task) {
+        io.execute(task);
+    }
+
+    public XnioExecutor.Key after(Duration delay, Runnable task) {
+        return io.executeAfter(task, Math.max(1, delay.toMillis()), TimeUnit.MILLISECONDS);
+    }
+
+    /** Connects; either {@code up} or {@code down} is called, once, on this thread. */
+    public Dial dial(InetSocketAddress address, Consumer<Wire> up, Runnable down) {
+        IoFuture<StreamConnection> future = worker.openStreamConnection(address, null, TCP);
+        future.addNotifier(new IoFuture.HandlingNotifier<StreamConnection, Void>() {
+            @Override
+            public void handleDone(StreamConnection connection, Void nothing) {
+                execute(() -> up.accept(new Wire(Loop.this, connection)));
+            }
+
+            @Override
+            public void handleFailed(IOException failure, Void nothing) {
+                execute(down);
+            }
+
+            @Override
+            public void handleCancelled(Void nothing) {
+                execute(down);
+            }
+        }, null);
+        return future::cancel;
+    }
+
+    /** Listens; each connection is handed over on this thread. */
+    public Listening listen(InetSocketAddress address, Consumer<Wire> accepted) throws IOException {
+        AcceptingChannel<StreamConnection> channel = worker.createStreamConnectionServer(address,
+                ChannelListeners.openListenerAdapter(up -> accepted.accept(new Wire(this, up))),
+                OptionMap.builder().addAll(TCP).set(Options.REUSE_ADDRESSES, true).set(Options.BACKLOG, BACKLOG)
+                        .getMap());
+        channel.resumeAccepts();
+        return new Listening(channel);
+    }
+
+    @Override
+    public void close() {
+        worker.shutdownNow();
+    }
+
+    /** A connection that is coming up. */
+    public interface Dial {
+        void cancel();
+    }
+
+    /** An open listener. */
+    public record Listening(AcceptingChannel<StreamConnection> channel) implements AutoCloseable {
+        public InetSocketAddress address() {
+            return channel.getLocalAddress(InetSocketAddress.class);
+        }
+
+        @Override
+        public void close() {
+            IoUtils.safeClose(channel);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/cypressglade/net/Wire.java
@@ -0,0 +1,129 @@
+package cypressglade.net;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
+import org.xnio.IoUtils;
+import org.xnio.StreamConnection;
+import org.xnio.conduits.ConduitStreamSourceChannel;
+
+/** One TCP connection, on the I/O thread. Its owner closes it. */
+public final class Wire {
+    private final Loop loop;
+    private final StreamConnection connection;
+    private final ArrayDeque<ByteBuffer> output = new ArrayDeque<>();
+    private Listener listener;
+    private long unsent;
+    private boolean closed;
+    private boolean closeWhenSent;
+
+    /** Hears what comes. */
+    public interface Listener {
+        /** Bytes came; what is left in the buffer is lost. A failure breaks the wire. */
+        void received(ByteBuffer in) throws IOException;
+
+        /** The other side ended or the wire broke; told once, and not after {@link Wire#close}. */
+        void ended();
+    }
+
+    Wire(Loop loop, StreamConnection connection) {
+        this.loop = loop;
+        this.connection = connection;
+        connection.getSourceChannel().setReadListener(this::read);
+        connection.getSinkChannel().setWriteListener(channel -> write());
+    }
+
+    /** Hands what comes from now on to another listener. */
+    public void listen(Listener next) {
+        listener = next;
+        connection.getSourceChannel().resumeReads();
+    }
+
+    public void pause() {
+        connection.getSourceChannel().suspendReads();
+    }
+
+    /** Writes as soon as the socket takes it. */
+    public void send(ByteBuffer bytes) {
+        if (!closed && bytes.hasRemaining()) {
+            output.add(bytes);
+            unsent += bytes.remaining();
+            write();
+        }
+    }
+
+    /** Bytes that the socket has not taken yet. */
+    public long unsent() {
+        return unsent;
+    }
+
+    /** Gives the connection back; nothing is heard of it after. */
+    public void close() {
+        closed = true;
+        output.clear();
+        IoUtils.safeClose(connection);
+    }
+
+    /** Closes once all that was to be sent is written. */
+    public void closeWhenSent() {
+        closeWhenSent = true;
+        if (output.isEmpty()) {
+            close();
+        }
+    }
+
+    private void write() {
+        try {
+            while (!output.isEmpty()) {
+                ByteBuffer first = output.peek();
+                int before = first.remaining();
+                int wrote = connection.getSinkChannel().write(first);
+                unsent -= before - first.remaining();
+                if (first.hasRemaining() && wrote == 0) {
+                    connection.getSinkChannel().resumeWrites();
+                    return;
+                }
+                if (!first.hasRemaining()) {
+                    output.poll();
+                }
+            }
+            connection.getSinkChannel().suspendWrites();
+            if (closeWhenSent) {
+                close();
+            }
+        } catch (IOException broken) {
+            loop.execute(this::broken);
+        }
+    }
+
+    private void read(ConduitStreamSourceChannel channel) {
+        ByteBuffer input = loop.input;
+        try {
+            while (!closed && channel.isReadResumed()) {
+                input.clear();
+                int got = channel.read(input);
+                if (got == 0) {
+                    return;
+                }
+                if (got < 0) {
+                    broken();
+                    return;
+                }
+                listener.received(input.flip());
+            }
+        } catch (IOException broken) {
+            broken();
+        }
+    }
+
+    private void broken() {
+        if (!closed) {
+            connection.getSourceChannel().suspendReads();
+            connection.getSinkChannel().suspendWrites();
+            closed = true;
+            output.clear();
+            IoUtils.safeClose(connection);
+            listener.ended();
+        }
+    }
+}
--- a/src/test/java/cypressglade/adapter/AdapterTest.java
+++ b/src/test/java/cypressglade/adapter/AdapterTest.java
@@ -47,7 +47,7 @@
     }
 
     private int run(byte[] input, ByteArrayOutputStream out) {
-        return Main.run(new String[] {"adapter"}, new ByteArrayInputStream(input), out, new PrintStream(errors));
+        return Adapter.run(new ByteArrayInputStream(input), out, new PrintStream(errors));
     }
 
     private void breaks(byte[] input, String message) {
@@ -145,10 +145,4 @@
     void settingsLineWithoutValueIsReported() {
         breaks(frame(1, open("balancers\n")), "not path=value");
     }
-
-    @Test
-    void wrongCommandLineGivesUsage() {
-        assertEquals(2, Main.run(new String[0], System.in, System.out, new PrintStream(errors)));
-        assertTrue(errors.toString().startsWith("usage:"));
-    }
 }
