Add the NBD front on the same core, and share the node connections between the fronts

Node connections moved to net.NodePool, which both fronts use, so the drain and time checks before an attempt's first byte stand once.

--- a/src/main/java/cypressglade/cli/Main.java
+++ b/src/main/java/cypressglade/cli/Main.java
@@ -7,6 +7,8 @@
 import cypressglade.adapter.Adapter;
 import cypressglade.config.Config;
 import cypressglade.config.ConfigException;
+import cypressglade.config.NbdConfigParser;
+import cypressglade.nbd.NbdConfig;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.PrintStream;
@@ -38,6 +40,13 @@
         @Parameter(names = "--config", description = "config.json; by default what ROUTER_CONFIG names")
         private String config = System.getenv("ROUTER_CONFIG");
 
+        @Parameter(names = "--nbd", description = "the file of the NBD front; off without it")
+        private String nbd = "deploy/nbd.json";
+
+        Optional<NbdConfig> readNbd(Config scheduler) throws ConfigException {
+            return NbdConfigParser.read(Path.of(nbd), scheduler.settings());
+        }
+
         Config read() throws ConfigException {
             if (config == null || config.isEmpty()) {
                 throw new ConfigException("no configuration: give --config or set ROUTER_CONFIG");
@@ -61,7 +70,8 @@
             commands.parse(args);
             switch (Optional.ofNullable(commands.getParsedCommand()).orElse("")) {
                 case "serve" -> {
-                    return serve(serve.read(), out);
+                    Config config = serve.read();
+                    return serve(new Serve(config, serve.readNbd(config)), out);
                 }
                 case "adapter" -> {
                     return Adapter.run(in, out, errors);
@@ -70,7 +80,8 @@
                     Config config = check.read();
                     out.println(config.name() + ": usable; " + config.settings().classes().size()
                             + " classes, " + config.settings().plans().size() + " plans, "
-                            + config.known().entries().size() + " nodes known");
+                            + config.known().entries().size() + " nodes known, NBD "
+                            + check.readNbd(config).map(nbd -> "on " + nbd.listen()).orElse("off"));
                     return OK;
                 }
                 case "version" -> {
@@ -95,9 +106,9 @@
         }
     }
 
-    private static int serve(Config config, PrintStream out) throws IOException {
-        Serve scheduler = new Serve(config);
+    private static int serve(Serve scheduler, PrintStream out) {
         out.println("listening on " + scheduler.address());
+        scheduler.nbdAddress().ifPresent(address -> out.println("NBD on " + address));
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             try {
                 scheduler.drain();
--- a/src/main/java/cypressglade/cli/Serve.java
+++ b/src/main/java/cypressglade/cli/Serve.java
@@ -3,6 +3,7 @@
 import cypressglade.config.Config;
 import cypressglade.core.Counters;
 import cypressglade.core.Engine;
+import cypressglade.core.Micros;
 import cypressglade.core.NodeDirectory;
 import cypressglade.core.RequestPool;
 import cypressglade.core.Scheduler.RequestClass;
@@ -10,11 +11,16 @@
 import cypressglade.http.ClientListener;
 import cypressglade.http.DiscoveryWatch;
 import cypressglade.http.NodeClient;
+import cypressglade.nbd.NbdConfig;
+import cypressglade.nbd.NbdListener;
+import cypressglade.nbd.NbdNodeLink;
 import cypressglade.net.Loop;
+import cypressglade.net.NodePool;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Optional;
 
 /** One real scheduler: its parts, from start to stop. */
 public final class Serve implements AutoCloseable {
@@ -37,22 +43,28 @@
     private final Engine engine;
     private final RequestPool pool;
     private final ClientListener clients;
+    private final Optional<NbdListener> blockClients;
     private volatile boolean ready;
 
-    public Serve(Config config) throws IOException {
+    public Serve(Config config, Optional<NbdConfig> nbd) throws IOException {
         this.config = config;
         loop = new Loop();
         NodeDirectory directory = new NodeDirectory();
         engine = new Engine(config.settings(), directory, counters);
-        pool = new RequestPool(MOST_OPEN, STACK_BYTES);
-        NodeClient nodes = new NodeClient(loop, directory, counters, config.connectTimeout(),
+        pool = new RequestPool(MOST_OPEN, STACK_BYTES, counters);
+        NodePool connections = new NodePool(loop, directory, counters, config.connectTimeout(),
                 config.idleLimit(), MOST_NODE_CONNECTIONS);
-        engine.start(nodes);
+        NodeClient nodes = new NodeClient(connections);
+        Optional<NbdNodeLink> nbdNodes = nbd.map(front -> new NbdNodeLink(connections, front));
+        engine.start(node -> nbdNodes.isPresent() && nbdNodes.get().speaksTo(directory.ready(node))
+                ? nbdNodes.get() : nodes);
         engine.told(config.known());
         new DiscoveryWatch(loop, config.discovery(), config.nodeLists(), directory, engine, counters).start();
         clients = new ClientListener(loop, config.listen(), config.settings(), engine, counters, pool, nodes,
                 () -> ready, MOST_CLIENT_CONNECTIONS);
         clients.start();
+        blockClients = nbd.isEmpty() ? Optional.empty() : Optional.of(new NbdListener(loop, nbd.get(),
+                config.settings(), engine, directory, counters, pool, nbdNodes.get()));
         ready = true;
     }
 
@@ -60,6 +72,10 @@
         return clients.address();
     }
 
+    public Optional<InetSocketAddress> nbdAddress() {
+        return blockClients.map(NbdListener::address);
+    }
+
     public Counters counters() {
         return counters;
     }
@@ -68,11 +84,13 @@
     public void drain() throws InterruptedException {
         Instant told = Time.now();
         ready = false;
+        blockClients.ifPresent(NbdListener::leave);
         Thread.sleep(ACCEPT_ON.toMillis());
         clients.leave();
         Thread.sleep(Time.until(told.plus(SERVE_ON)).toMillis());
+        blockClients.ifPresent(NbdListener::refuseCommands);
         Duration longest = config.settings().classes().stream().map(RequestClass::deadlineUs)
-                .map(cypressglade.core.Micros::span).max(Duration::compareTo).orElse(Duration.ZERO);
+                .map(Micros::span).max(Duration::compareTo).orElse(Duration.ZERO);
         Instant last = told.plus(SERVE_ON).plus(longest);
         while (pool.open() > 0 && Time.now().isBefore(last)) {
             Thread.sleep(LOOK.toMillis());
@@ -83,6 +101,7 @@
     @Override
     public void close() {
         clients.close();
+        blockClients.ifPresent(NbdListener::close);
         pool.close();
         engine.close();
         loop.close();
--- a/src/main/java/cypressglade/config/NodeListParser.java
+++ b/src/main/java/cypressglade/config/NodeListParser.java
@@ -2,6 +2,7 @@
 
 import cypressglade.core.NodeList;
 import cypressglade.core.Scheduler.State;
+import java.net.InetSocketAddress;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
@@ -35,10 +36,7 @@
             if (state == null) {
                 throw values.bad(entry + "state", "is none of active, leaving, left");
             }
-            String address = state == State.GONE ? values.text(entry + "addr", "") : values.text(entry + "addr");
-            if (state != State.GONE) {
-                values.address(entry + "addr");
-            }
+            InetSocketAddress address = state == State.GONE ? null : values.address(entry + "addr");
             entries.add(new NodeList.Entry(values.text(entry + "id"), address,
                     Math.max(0, zones.indexOf(values.text(entry + "zone", ""))),
                     Math.max(0, kinds.indexOf(values.text(entry + "kind", ""))),
--- a/src/main/java/cypressglade/config/SettingsParser.java
+++ b/src/main/java/cypressglade/config/SettingsParser.java
@@ -12,7 +12,7 @@
 import cypressglade.core.Scheduler.Scope;
 import cypressglade.core.Scheduler.Settings;
 
-/** Reads the settings, by path, of an instance's first message. Unknown keys are skipped, absent ones are 0. */
+/** Reads the settings of an instance, by path. Unknown keys are skipped, absent ones are 0. */
 public final class SettingsParser {
     private final Map<String, String> values;
 
--- a/src/main/java/cypressglade/core/Engine.java
+++ b/src/main/java/cypressglade/core/Engine.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.LongFunction;
 
 /**
  * Runs the decision module on one thread, which owns it, its timers and the table of open requests. All
@@ -39,7 +40,7 @@
     private record Timer(Instant due, long number, long token) { }
 
     /** A probe that the module ordered; its end is told once. */
-    public final class Probe {
+    private final class Probe {
         private final long node;
         private final Instant sent = Time.now();
 
@@ -47,11 +48,7 @@
             this.node = node;
         }
 
-        public long node() {
-            return node;
-        }
-
-        public void ended(Ending ending) {
+        private void ended(Ending ending) {
             long latency = Micros.of(Duration.between(sent, Time.now()));
             post(() -> scheduler.probed(now(), node, ending.status(), latency, NO_LOAD));
         }
@@ -64,9 +61,9 @@
         thread.setDaemon(true);
     }
 
-    /** Starts the thread; probes go through the given link. */
-    public void start(NodeLink<?> link) {
-        prober = probe -> link.probe(probe.node(), probe::ended);
+    /** Starts the thread; {@code links} names the link by which a node is probed. */
+    public void start(LongFunction<NodeLink<?>> links) {
+        prober = probe -> links.apply(probe.node).probe(probe.node, probe::ended);
         thread.start();
     }
 
@@ -125,7 +122,7 @@
             try {
                 Timer first = timers.peek();
                 Duration wait = first == null ? Duration.ofDays(1) : Time.until(first.due());
-                Runnable event = wait.isZero() ? events.poll() : events.poll(wait.toNanos(), TimeUnit.NANOSECONDS);
+                Runnable event = events.poll(wait.toNanos(), TimeUnit.NANOSECONDS);
                 if (event != null) {
                     event.run();
                 }
--- a/src/main/java/cypressglade/core/NodeDirectory.java
+++ b/src/main/java/cypressglade/core/NodeDirectory.java
@@ -3,6 +3,7 @@
 import cypressglade.core.Scheduler.ListKind;
 import cypressglade.core.Scheduler.NodeEntry;
 import cypressglade.core.Scheduler.State;
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -10,14 +11,18 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * What was told of the nodes last. Ids are stable and addresses are not, so the module knows a node by a
  * number given to its id here. The links ask here before the first byte of an attempt.
  */
 public final class NodeDirectory {
+    /** A node that is in the list. */
+    public record Known(String id, InetSocketAddress address, int cell, State state) { }
+
     private final Map<String, Long> numbers = new HashMap<>();
-    private final Map<Long, NodeList.Entry> nodes = new HashMap<>();
+    private final Map<Long, Known> nodes = new HashMap<>();
     private long version;
 
     /** Takes in a list; returns the module's form of it. */
@@ -28,14 +33,14 @@
         for (NodeList.Entry entry : list.entries()) {
             long number = numbers.computeIfAbsent(entry.id(), id -> (long) numbers.size() + 1);
             named.add(number);
-            nodes.put(number, entry);
+            nodes.put(number, new Known(entry.id(), entry.address(), entry.cell(), entry.state()));
             entries.add(new NodeEntry(number, entry.zone(), entry.state(), entry.cell(), entry.weight(),
                     Micros.of(entry.started()), entry.kind()));
         }
         if (list.full()) {
             nodes.keySet().retainAll(named);
         }
-        nodes.values().removeIf(entry -> entry.state() == State.GONE);
+        nodes.values().removeIf(node -> node.state() == State.GONE);
         return entries;
     }
 
@@ -47,14 +52,15 @@
         return version;
     }
 
-    /** Where a node listens, if work may start there now: it is known, and neither draining nor gone. */
-    public synchronized Optional<NodeList.Entry> ready(long node) {
-        return Optional.ofNullable(nodes.get(node)).filter(entry -> entry.state() == State.READY);
+    /** A node, if work may start there now: it is known, and neither draining nor gone. */
+    public synchronized Optional<Known> ready(long node) {
+        return Optional.ofNullable(nodes.get(node)).filter(known -> known.state() == State.READY);
     }
 
-    /** Whether any node of the shard is told to drain while none is ready. */
+    /** Whether a shard can take no work because what holds it drains. */
     public synchronized boolean draining(int shard) {
-        return nodes.values().stream().anyMatch(node -> node.cell() == shard && node.state() == State.DRAINING)
-                && nodes.values().stream().noneMatch(node -> node.cell() == shard && node.state() == State.READY);
+        Set<State> states = nodes.values().stream().filter(node -> node.cell() == shard).map(Known::state)
+                .collect(Collectors.toSet());
+        return states.contains(State.DRAINING) && !states.contains(State.READY);
     }
 }
--- a/src/main/java/cypressglade/core/RequestLife.java
+++ b/src/main/java/cypressglade/core/RequestLife.java
@@ -32,7 +32,7 @@
     int ordered;
     int ended;
 
-    /** What a task can be told: an order of the module, the end of its attempt, or that its client is gone. */
+    /** What a task can be told: the module's order, the end of its attempt, or that its client is gone. */
     sealed interface Signal { }
 
     record Send(long node, Duration limit) implements Signal { }
--- a/src/main/java/cypressglade/core/RequestPool.java
+++ b/src/main/java/cypressglade/core/RequestPool.java
@@ -10,8 +10,10 @@
     private static final long KEEP_SECONDS = 20;
 
     private final ThreadPoolExecutor pool;
+    private final Counters counters;
 
-    public RequestPool(int most, long stackBytes) {
+    public RequestPool(int most, long stackBytes, Counters counters) {
+        this.counters = counters;
         pool = new ThreadPoolExecutor(0, most, KEEP_SECONDS, TimeUnit.SECONDS, new SynchronousQueue<>(),
                 task -> {
                     Thread thread = new Thread(null, task, "request", stackBytes);
@@ -22,10 +24,12 @@
 
     /** Starts a request's task; false when there is no room, and then nothing has happened to it. */
     public boolean start(RequestLife<?> life) {
+        counters.add(Counters.Name.TAKEN);
         try {
             pool.execute(life);
             return true;
         } catch (RejectedExecutionException full) {
+            counters.add(Counters.Name.REFUSED_NO_ROOM);
             return false;
         }
     }
--- a/src/main/java/cypressglade/http/ClientListener.java
+++ b/src/main/java/cypressglade/http/ClientListener.java
@@ -143,7 +143,6 @@
     }
 
     private void begin(HttpServerExchange exchange, IoRequest request, byte[] body) {
-        counters.add(Name.TAKEN);
         String target = exchange.getQueryString().isEmpty() ? exchange.getRequestURI()
                 : exchange.getRequestURI() + "?" + exchange.getQueryString();
         HttpWork work = new HttpWork(exchange.getRequestMethod().toString(), target,
@@ -153,7 +152,6 @@
         if (pool.start(life)) {
             watchForEnd(exchange, life);
         } else {
-            counters.add(Name.REFUSED_NO_ROOM);
             client.refused(Duration.ZERO);
         }
     }
--- /dev/null
+++ b/src/main/java/cypressglade/nbd/NbdListener.java
@@ -0,0 +1,133 @@
+package cypressglade.nbd;
+
+import cypressglade.core.Caller;
+import cypressglade.core.Counters;
+import cypressglade.core.Engine;
+import cypressglade.core.IoRequest;
+import cypressglade.core.NodeDirectory;
+import cypressglade.core.NodeLink;
+import cypressglade.core.RequestLife;
+import cypressglade.core.RequestPool;
+import cypressglade.core.Scheduler.Settings;
+import cypressglade.nbd.NbdConfig.Export;
+import cypressglade.net.Loop;
+import cypressglade.net.Wire;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+
+/** Where NBD clients connect. It decides nothing: each command goes to the core as a request. */
+public final class NbdListener implements AutoCloseable {
+    private static final int MOST_CLIENTS = 12;
+    private static final Duration HANDSHAKE_LIMIT = Duration.ofSeconds(10);
+
+    private final Loop loop;
+    private final NbdConfig config;
+    private final Settings settings;
+    private final Engine engine;
+    private final NodeDirectory directory;
+    private final Counters counters;
+    private final RequestPool pool;
+    private final NodeLink<NbdWork> link;
+    private final Loop.Listening listening;
+    private final Set<Wire> clients = new HashSet<>();
+    private volatile boolean leaving;
+    private volatile boolean refusing;
+
+    public NbdListener(Loop loop, NbdConfig config, Settings settings, Engine engine, NodeDirectory directory,
+            Counters counters, RequestPool pool, NbdNodeLink link) throws IOException {
+        this.loop = loop;
+        this.config = config;
+        this.settings = settings;
+        this.engine = engine;
+        this.directory = directory;
+        this.counters = counters;
+        this.pool = pool;
+        this.link = link;
+        listening = loop.listen(config.listen(), wire -> loop.execute(() -> accept(wire)));
+    }
+
+    public InetSocketAddress address() {
+        return listening.address();
+    }
+
+    /** From now on a handshake is told that this program shuts down. */
+    public void leave() {
+        leaving = true;
+    }
+
+    /** From now on no command is taken. */
+    public void refuseCommands() {
+        refusing = true;
+    }
+
+    @Override
+    public void close() {
+        listening.close();
+    }
+
+    private void accept(Wire wire) {
+        if (clients.size() >= MOST_CLIENTS) {
+            wire.close();
+            return;
+        }
+        clients.add(wire);
+        ServerHandshake handshake = new ServerHandshake(wire, config, this::drains, (export, structured) ->
+                new Transmission(this, wire, export, structured), () -> left(wire));
+        loop.after(HANDSHAKE_LIMIT, () -> {
+            if (!handshake.over()) {
+                left(wire);
+                wire.close();
+            }
+        });
+    }
+
+    private boolean drains(Optional<Export> export) {
+        return leaving || export.isPresent() && export.get().extents().stream()
+                .anyMatch(extent -> directory.draining(extent.shard()));
+    }
+
+    void left(Wire wire) {
+        clients.remove(wire);
+    }
+
+    boolean drains(int shard) {
+        return leaving || directory.draining(shard);
+    }
+
+    boolean refusesCommands() {
+        return refusing;
+    }
+
+    NbdConfig config() {
+        return config;
+    }
+
+    Settings settings() {
+        return settings;
+    }
+
+    NodeLink<NbdWork> link() {
+        return link;
+    }
+
+    /** The most that one request of the core may carry. */
+    int mostBytes() {
+        return (int) Math.max(1, settings.mostUnits()) * config.unitBytes();
+    }
+
+    void execute(Runnable task) {
+        loop.execute(task);
+    }
+
+    RequestLife<NbdWork> life(IoRequest request, NbdWork work, Caller caller, NodeLink<NbdWork> way) {
+        return new RequestLife<>(engine, counters, request, work, caller, way);
+    }
+
+    boolean start(RequestLife<NbdWork> life) {
+        return pool.start(life);
+    }
+}
--- /dev/null
+++ b/src/main/java/cypressglade/nbd/NbdNodeLink.java
@@ -0,0 +1,146 @@
+package cypressglade.nbd;
+
+import cypressglade.core.NodeDirectory;
+import cypressglade.core.NodeLink;
+import cypressglade.core.Scheduler.Status;
+import cypressglade.core.Time;
+import cypressglade.net.NodePool;
+import cypressglade.net.Wire;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+/** Storage nodes that are NBD servers, one command at a time on each connection. */
+public final class NbdNodeLink implements NodeLink<NbdWork> {
+    private static final String PROBE = "/probe";
+
+    private final NodePool pool;
+    private final NbdConfig config;
+    private long lastCookie;
+
+    public NbdNodeLink(NodePool pool, NbdConfig config) {
+        this.pool = pool;
+        this.config = config;
+    }
+
+    /** Whether a node is one of this front's. */
+    public boolean speaksTo(Optional<NodeDirectory.Known> node) {
+        return node.isPresent() && config.nodes().containsKey(node.get().id());
+    }
+
+    @Override
+    public Attempt send(long node, NbdWork work, Instant until, Consumer<Ending> ended) {
+        if (work.onlyNode() != NbdWork.ANY_NODE && work.onlyNode() != node) {
+            ended.accept(Ending.of(Status.MOOT)); // the node that wrote is not there any more
+            return () -> { };
+        }
+        return new Command(node, work, until, ended).start();
+    }
+
+    @Override
+    public void probe(long node, Consumer<Ending> ended) {
+        new Handshake(node, ended).start();
+    }
+
+    /** A connection's way to a node on this wire, ready for commands on one export. */
+    private abstract class NbdExchange extends NodePool.Exchange {
+        private final NbdConfig.Export export;
+
+        NbdExchange(long node, NbdConfig.Export export, Instant until, Consumer<Ending> ended) {
+            pool.super(node, until, ended);
+            this.export = export;
+        }
+
+        @Override
+        protected Optional<InetSocketAddress> address(NodeDirectory.Known known) {
+            return Optional.ofNullable(config.nodes().get(known.id()));
+        }
+
+        @Override
+        protected String purpose() {
+            return "/" + export.name();
+        }
+
+        @Override
+        protected void prepare(Wire fresh, Runnable ready, Runnable unusable) {
+            fresh.listen(new ClientHandshake(fresh, export, ready, unusable));
+        }
+    }
+
+    private final class Command extends NbdExchange {
+        private final NbdWork work;
+        private final ReplyParser parser;
+        private final long cookie;
+
+        Command(long node, NbdWork work, Instant until, Consumer<Ending> ended) {
+            super(node, work.export(), until, ended);
+            this.work = work;
+            synchronized (NbdNodeLink.this) {
+                cookie = ++lastCookie;
+            }
+            parser = new ReplyParser(work, cookie);
+        }
+
+        @Override
+        protected ByteBuffer message(Duration left) {
+            return work.message(cookie);
+        }
+
+        @Override
+        protected Optional<Status> read(ByteBuffer in) throws IOException {
+            return parser.feed(in);
+        }
+
+        @Override
+        protected boolean reusable() {
+            return true;
+        }
+
+        @Override
+        protected byte[] answer() {
+            return parser.data();
+        }
+    }
+
+    /** A sign of life: a whole handshake, after which the connection is left in the proper way. */
+    private final class Handshake extends NbdExchange {
+        Handshake(long node, Consumer<Ending> ended) {
+            super(node, config.exports().get(0), Time.now().plus(NodePool.PROBE_LIMIT), ended);
+        }
+
+        @Override
+        protected String purpose() {
+            return PROBE;
+        }
+
+        @Override
+        protected ByteBuffer message(Duration left) {
+            return new NbdWork(config.exports().get(0), Nbd.CMD_DISC, 0, 0, new byte[0], NbdWork.ANY_NODE)
+                    .message(0);
+        }
+
+        @Override
+        protected Optional<Status> read(ByteBuffer in) throws IOException {
+            throw new IOException("a reply to DISC");
+        }
+
+        @Override
+        protected Optional<Status> readToEnd() {
+            return Optional.of(Status.OK);
+        }
+
+        @Override
+        protected boolean reusable() {
+            return false;
+        }
+
+        @Override
+        protected byte[] answer() {
+            return new byte[0];
+        }
+    }
+}
--- a/src/main/java/cypressglade/net/Loop.java
+++ b/src/main/java/cypressglade/net/Loop.java
@@ -73,8 +73,8 @@
     public Listening listen(InetSocketAddress address, Consumer<Wire> accepted) throws IOException {
         AcceptingChannel<StreamConnection> channel = worker.createStreamConnectionServer(address,
                 ChannelListeners.openListenerAdapter(up -> accepted.accept(new Wire(this, up))),
-                OptionMap.builder().addAll(TCP).set(Options.REUSE_ADDRESSES, true).set(Options.BACKLOG, BACKLOG)
-                        .getMap());
+                OptionMap.builder().addAll(TCP).set(Options.REUSE_ADDRESSES, true)
+                        .set(Options.BACKLOG, BACKLOG).getMap());
         channel.resumeAccepts();
         return new Listening(channel);
     }
--- /dev/null
+++ b/src/main/java/cypressglade/net/NodePool.java
@@ -0,0 +1,277 @@
+package cypressglade.net;
+
+import cypressglade.core.Counters;
+import cypressglade.core.NodeDirectory;
+import cypressglade.core.NodeLink.Attempt;
+import cypressglade.core.NodeLink.Ending;
+import cypressglade.core.Scheduler.Status;
+import cypressglade.core.Time;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.xnio.XnioExecutor;
+
+/**
+ * Connections to the storage nodes, one request at a time on each. All state is the I/O thread's. Nothing is
+ * ever sent again here; an attempt's end says exactly whether its last byte was written.
+ */
+public final class NodePool {
+    public static final Duration PROBE_LIMIT = Duration.ofMillis(250);
+    private static final Duration MOST_IDLE = Duration.ofSeconds(12);
+    private static final Duration SWEEP = Duration.ofSeconds(1);
+    /** A send that its connection delays by more would count too late against a volume's limit. */
+    private static final Duration MOST_CONNECT = Duration.ofMillis(150);
+
+    private final Loop loop;
+    private final NodeDirectory directory;
+    private final Counters counters;
+    private final Duration connectLimit;
+    private final Duration idleLimit;
+    private final int mostConnections;
+    private final Map<String, ArrayDeque<Idle>> idle = new HashMap<>();
+    private int connections;
+
+    public NodePool(Loop loop, NodeDirectory directory, Counters counters, Duration connectTimeout,
+            Duration idleAtNode, int mostConnections) {
+        this.loop = loop;
+        this.directory = directory;
+        this.counters = counters;
+        this.connectLimit = shorter(connectTimeout, MOST_CONNECT);
+        this.idleLimit = shorter(idleAtNode.dividedBy(2), MOST_IDLE);
+        this.mostConnections = mostConnections;
+        loop.after(SWEEP, this::sweep);
+    }
+
+    private static Duration shorter(Duration one, Duration other) {
+        return one.compareTo(other) < 0 ? one : other;
+    }
+
+    /** A connection between two requests. Whatever comes on it ends it: a node has nothing to say there. */
+    private final class Idle implements Wire.Listener {
+        private final Wire wire;
+        private final String use;
+        private final Instant since = Time.now();
+
+        Idle(Wire wire, String use) {
+            this.wire = wire;
+            this.use = use;
+        }
+
+        @Override
+        public void received(ByteBuffer in) {
+            discard();
+        }
+
+        @Override
+        public void ended() {
+            discard();
+        }
+
+        void discard() {
+            idle.get(use).remove(this);
+            close(wire);
+        }
+    }
+
+    private Optional<Wire> takeIdle(String use) {
+        ArrayDeque<Idle> kept = idle.get(use);
+        return kept == null || kept.isEmpty() ? Optional.empty() : Optional.of(kept.pollLast().wire);
+    }
+
+    private void keep(Wire wire, String use) {
+        Idle kept = new Idle(wire, use);
+        idle.computeIfAbsent(use, key -> new ArrayDeque<>()).addLast(kept);
+        wire.listen(kept);
+    }
+
+    /** The one place where a connection is given back. */
+    private void close(Wire wire) {
+        connections--;
+        wire.close();
+    }
+
+    private void sweep() {
+        Instant oldest = Time.now().minus(idleLimit);
+        for (ArrayDeque<Idle> kept : idle.values()) {
+            while (!kept.isEmpty() && kept.peekFirst().since.isBefore(oldest)) {
+                kept.peekFirst().discard();
+            }
+        }
+        idle.values().removeIf(ArrayDeque::isEmpty);
+        loop.after(SWEEP, this::sweep);
+    }
+
+    /** Makes room for one more connection, at the cost of the one that was idle longest. */
+    private void makeRoom() {
+        if (connections >= mostConnections) {
+            idle.values().stream().map(ArrayDeque::peekFirst).filter(Objects::nonNull)
+                    .min(Comparator.comparing(kept -> kept.since)).ifPresent(Idle::discard);
+        }
+    }
+
+    /** One request on a connection, from its start to its one end; each wire says how it is put. */
+    public abstract class Exchange implements Wire.Listener {
+        private final long node;
+        private final Instant until;
+        private final Consumer<Ending> ended;
+        private String use;
+        private Loop.Dial dial;
+        private Wire wire;
+        private XnioExecutor.Key limit;
+        private boolean begun;
+        private boolean over;
+
+        protected Exchange(long node, Instant until, Consumer<Ending> ended) {
+            this.node = node;
+            this.until = until;
+            this.ended = ended;
+        }
+
+        /** Where the node listens on this wire, for what is written in the directory. */
+        protected abstract Optional<InetSocketAddress> address(NodeDirectory.Known known);
+
+        /** What sets connections to one address apart, where they are not all alike. */
+        protected String purpose() {
+            return "";
+        }
+
+        /** Makes a new connection ready for its first request. */
+        protected void prepare(Wire fresh, Runnable ready, Runnable unusable) {
+            ready.run();
+        }
+
+        protected abstract ByteBuffer message(Duration left);
+
+        /** Takes what came; how the exchange ended once the answer is whole. */
+        protected abstract Optional<Status> read(ByteBuffer in) throws IOException;
+
+        /** The connection ended; how the exchange ended if that makes its answer whole. */
+        protected Optional<Status> readToEnd() {
+            return Optional.empty();
+        }
+
+        /** Whether the connection may carry another request after a whole answer. */
+        protected abstract boolean reusable();
+
+        protected abstract byte[] answer();
+
+        /** Starts it; returns at once. */
+        public Attempt start() {
+            loop.execute(this::open);
+            return () -> loop.execute(() -> end(Status.CANCELLED));
+        }
+
+        private void open() {
+            Optional<InetSocketAddress> address = directory.ready(node).flatMap(this::address);
+            if (address.isEmpty()) {
+                holdBack();
+                return;
+            }
+            use = address.get() + purpose();
+            Optional<Wire> kept = takeIdle(use);
+            if (kept.isPresent()) {
+                wire = kept.get();
+                begin();
+                return;
+            }
+            makeRoom();
+            connections++;
+            counters.add(Counters.Name.CONNECTIONS_OPENED);
+            limit(shorter(connectLimit, Time.until(until)));
+            dial = loop.dial(address.get(), this::connected, this::notConnected);
+        }
+
+        private void connected(Wire up) {
+            if (over) {
+                close(up);
+                return;
+            }
+            wire = up;
+            prepare(wire, this::begin, () -> end(Status.CONNECT_FAILED));
+        }
+
+        private void notConnected() {
+            connections--;
+            dial = null;
+            end(Status.CONNECT_FAILED);
+        }
+
+        /** A slow connect must not send late: the node may drain by now, or the time may be up. */
+        private void begin() {
+            if (over) {
+                return;
+            }
+            Duration left = Time.until(until);
+            if (left.isZero() || directory.ready(node).isEmpty()) {
+                keep(wire, use);
+                wire = null;
+                holdBack();
+                return;
+            }
+            begun = true;
+            limit(left);
+            wire.listen(this);
+            wire.send(message(left));
+        }
+
+        private void holdBack() {
+            counters.add(Counters.Name.HELD_BACK_AT_NODE);
+            end(Status.CONNECT_FAILED);
+        }
+
+        @Override
+        public final void received(ByteBuffer in) throws IOException {
+            Optional<Status> whole = read(in);
+            if (whole.isPresent()) {
+                if (!in.hasRemaining() && reusable() && wire.unsent() == 0) {
+                    keep(wire, use);
+                    wire = null;
+                }
+                end(whole.get());
+            }
+        }
+
+        @Override
+        public final void ended() {
+            end(readToEnd().orElseGet(() -> lost(Status.RESET)));
+        }
+
+        /** Work whose last byte was not written has never run; after that it may have. */
+        private Status lost(Status status) {
+            return begun && wire.unsent() == 0 ? status : Status.CONNECT_FAILED;
+        }
+
+        private void limit(Duration left) {
+            if (limit != null) {
+                limit.remove();
+            }
+            limit = loop.after(left, () -> end(lost(Status.TIMEOUT)));
+        }
+
+        /** The one end of an exchange. Its connection is closed, unless it was kept, before anyone hears. */
+        private void end(Status status) {
+            if (over) {
+                return;
+            }
+            over = true;
+            if (limit != null) {
+                limit.remove();
+            }
+            if (wire != null) {
+                close(wire);
+            } else if (dial != null) {
+                dial.cancel();
+            }
+            ended.accept(status == Status.OK ? new Ending(status, answer()) : Ending.of(status));
+        }
+    }
+}
--- a/src/main/java/cypressglade/net/Wire.java
+++ b/src/main/java/cypressglade/net/Wire.java
@@ -16,6 +16,7 @@
     private long unsent;
     private boolean closed;
     private boolean closeWhenSent;
+    private boolean blocked;
 
     /** Hears what comes. */
     public interface Listener {
@@ -24,6 +25,9 @@
 
         /** The other side ended or the wire broke; told once, and not after {@link Wire#close}. */
         void ended();
+
+        /** All that had to wait for the socket is written. */
+        default void sent() { }
     }
 
     Wire(Loop loop, StreamConnection connection) {
@@ -80,6 +84,7 @@
                 int wrote = connection.getSinkChannel().write(first);
                 unsent -= before - first.remaining();
                 if (first.hasRemaining() && wrote == 0) {
+                    blocked = true;
                     connection.getSinkChannel().resumeWrites();
                     return;
                 }
@@ -90,6 +95,9 @@
             connection.getSinkChannel().suspendWrites();
             if (closeWhenSent) {
                 close();
+            } else if (blocked && listener != null) {
+                blocked = false;
+                loop.execute(listener::sent);
             }
         } catch (IOException broken) {
             loop.execute(this::broken);
