--- a/src/main/java/cypressglade/cli/Main.java
+++ b/src/main/java/cypressglade/cli/Main.java
@@ -9,9 +9,14 @@
 import cypressglade.config.ConfigException;
 import cypressglade.config.NbdConfigParser;
 import cypressglade.nbd.NbdConfig;
+import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.InputStreamReader;
 import java.io.PrintStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.Optional;
 
@@ -20,6 +25,7 @@
     private static final int OK = 0;
     private static final int FAILED = 1;
     private static final int USAGE = 2;
+    private static final int ASK_LIMIT_MS = 5000;
 
     private Main() { }
 
@@ -33,7 +39,10 @@
     private static final class VersionCommand { }
 
     @Parameters(commandDescription = "read the configuration and say what is wrong with it")
-    private static final class CheckConfigCommand extends ConfigCommand { }
+    private static final class CheckConfigCommand extends ConfigCommand {
+        @Parameter(names = "--start", description = "also start every part, on a free port, and stop it")
+        private boolean start;
+    }
 
     /** Commands that take a configuration. */
     private static class ConfigCommand {
@@ -82,7 +91,7 @@
                             + " classes, " + config.settings().plans().size() + " plans, "
                             + config.known().entries().size() + " nodes known, NBD "
                             + check.readNbd(config).map(nbd -> "on " + nbd.listen()).orElse("off"));
-                    return OK;
+                    return check.start && !starts(config, out) ? FAILED : OK;
                 }
                 case "version" -> {
                     out.println("cypressglade " + Optional.ofNullable(
@@ -106,9 +115,33 @@
         }
     }
 
+    /** Starts a scheduler beside whatever runs, and asks it for its health and for a request of no node. */
+    private static boolean starts(Config config, PrintStream out) throws IOException {
+        InetSocketAddress free = new InetSocketAddress("127.0.0.1", 0);
+        try (Serve scheduler = new Serve(config.on(free), Optional.empty())) {
+            scheduler.start();
+            String health = ask(scheduler, "/healthz", "");
+            String type = config.settings().classes().get(0).name();
+            String request = ask(scheduler, "/" + type + "/0000000000000001/0000000000000002",
+                    "X-Trace-Id: 1\r\nTier: " + config.settings().plans().get(0).name()
+                            + "\r\nX-Expires-In-Ms: 500\r\nIO-Info: units=1,shard=0,hosts=1\r\n");
+            out.println("health: " + health + "; a request: " + request);
+            return health.endsWith(" 200 OK");
+        }
+    }
+
+    private static String ask(Serve scheduler, String path, String headers) throws IOException {
+        try (Socket socket = new Socket(scheduler.address().getAddress(), scheduler.address().getPort())) {
+            socket.setSoTimeout(ASK_LIMIT_MS);
+            socket.getOutputStream().write(("GET " + path + " HTTP/1.1\r\nHost: check\r\n" + headers + "\r\n")
+                    .getBytes(StandardCharsets.US_ASCII));
+            return new BufferedReader(new InputStreamReader(socket.getInputStream(),
+                    StandardCharsets.US_ASCII)).readLine();
+        }
+    }
+
     private static int serve(Serve scheduler, PrintStream out) {
-        out.println("listening on " + scheduler.address());
-        scheduler.nbdAddress().ifPresent(address -> out.println("NBD on " + address));
+        // Guards against a signal to stop between the first answer to /healthz and the hook.
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             try {
                 scheduler.drain();
@@ -119,6 +152,9 @@
             out.flush();
             Runtime.getRuntime().halt(OK); // a planned stop is no failure, whatever the signal's own code
         }, "stop"));
+        scheduler.start();
+        out.println("listening on " + scheduler.address());
+        scheduler.nbdAddress().ifPresent(address -> out.println("NBD on " + address));
         try {
             Thread.currentThread().join();
         } catch (InterruptedException end) {
--- a/src/main/java/cypressglade/cli/Serve.java
+++ b/src/main/java/cypressglade/cli/Serve.java
@@ -62,9 +62,13 @@
         new DiscoveryWatch(loop, config.discovery(), config.nodeLists(), directory, engine, counters).start();
         clients = new ClientListener(loop, config.listen(), config.settings(), engine, counters, pool, nodes,
                 () -> ready, MOST_CLIENT_CONNECTIONS);
-        clients.start();
         blockClients = nbd.isEmpty() ? Optional.empty() : Optional.of(new NbdListener(loop, nbd.get(),
                 config.settings(), engine, directory, counters, pool, nbdNodes.get()));
+    }
+
+    /** Opens the doors. Whoever stops the program must be able to from here on. */
+    public void start() {
+        clients.start();
         ready = true;
     }
 
--- a/src/main/java/cypressglade/config/Config.java
+++ b/src/main/java/cypressglade/config/Config.java
@@ -23,6 +23,11 @@
         return parse(path.toString(), bytes(path));
     }
 
+    /** The same, listening elsewhere. */
+    public Config on(InetSocketAddress other) {
+        return new Config(name, other, discovery, known, settings, connectTimeout, idleLimit, nodeLists);
+    }
+
     static byte[] bytes(Path path) throws ConfigException {
         try {
             return Files.readAllBytes(path);
--- a/src/main/java/cypressglade/http/ClientListener.java
+++ b/src/main/java/cypressglade/http/ClientListener.java
@@ -51,6 +51,7 @@
     private final BooleanSupplier ready;
     /** Client connections, each with whether a request is on it. */
     private final Map<ServerConnection, Boolean> busy = new HashMap<>();
+    private final int mostKept;
     private volatile boolean leaving;
 
     public ClientListener(Loop loop, InetSocketAddress address, Settings settings, Engine engine,
@@ -63,6 +64,7 @@
         this.pool = pool;
         this.link = link;
         this.ready = ready;
+        this.mostKept = mostConnections - mostConnections / 8;
         this.server = Undertow.builder().setWorker(loop.worker()).setBufferSize(BUFFER).setDirectBuffers(true)
                 .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
                 .setServerOption(UndertowOptions.MAX_HEADER_SIZE, MOST_HEAD)
@@ -198,7 +200,7 @@
 
     private void answer(HttpServerExchange exchange, int status, byte[] body) {
         exchange.setStatusCode(status);
-        if (leaving) {
+        if (leaving || busy.size() > mostKept) { // idle ones must not keep new clients out
             exchange.setPersistent(false);
         }
         exchange.getResponseHeaders().put(Headers.CONTENT_LENGTH, Integer.toString(body.length));
--- a/src/test/java/cypressglade/cli/MainTest.java
+++ b/src/test/java/cypressglade/cli/MainTest.java
@@ -5,6 +5,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.InputStream;
 import java.io.PrintStream;
+import java.nio.file.Path;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -33,6 +34,28 @@
         assertThat(errors.toString()).startsWith("cypressglade: ").contains(why);
     }
 
+    /** Guards against a stop that comes before the hook is there, and against the signal's own exit code. */
+    @Test
+    void sigtermRightAfterTheStartEndsWithZeroAndTheCounters() throws Exception {
+        Process process = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-cp", System.getProperty("java.class.path"), Main.class.getName(), "serve", "--config",
+                "deploy/config.example.json").redirectError(ProcessBuilder.Redirect.DISCARD).start();
+        try (var lines = process.inputReader()) {
+            assertThat(lines.readLine()).startsWith("listening on ");
+            process.toHandle().destroy(); // unlike the process, leaves its output open
+            assertThat(lines.lines()).contains("taken 0", "answered_served 0");
+            assertThat(process.waitFor()).isZero();
+        } finally {
+            process.destroyForcibly();
+        }
+    }
+
+    @Test
+    void configurationIsCheckedToTheStartOfEveryPart() {
+        assertThat(run("check-config --start --config deploy/config.example.json")).isZero();
+        assertThat(out.toString()).contains("n1: usable", "200 OK", "503");
+    }
+
     @Test
     void versionAndAnEmptyAdapterRunExitWithZero() {
         assertThat(run("version")).isZero();
--- a/src/test/java/cypressglade/config/ConfigTest.java
+++ b/src/test/java/cypressglade/config/ConfigTest.java
@@ -22,8 +22,8 @@
             + "\"m\",\"cell\":3,\"state\":\"leaving\",\"weight\":1.5,\"started_ms\":1700000000123}";
 
     private static Config config(String from, String to) throws ConfigException, IOException {
-        String text = Files.readString(Path.of("src/test/resources/config.json"))
-                .replace("%discovery%", "127.0.0.1:8500").replace("%servers%", ENTRY);
+        String text = Files.readString(Path.of("deploy/config.example.json"))
+                .replaceFirst("\\{\"id\":[^}]*}", ENTRY);
         assertThat(text).contains(from);
         return Config.parse("c.json", text.replace(from, to).getBytes(StandardCharsets.UTF_8));
     }
--- a/src/test/java/cypressglade/standin/Site.java
+++ b/src/test/java/cypressglade/standin/Site.java
@@ -41,14 +41,15 @@
         }
         Path file = Files.createTempFile("config", ".json");
         try {
-            String template = Files.readString(Path.of("src/test/resources/config.json"));
-            Files.writeString(file, template.replace("%discovery%", discovery.hostPort())
-                    .replace("%servers%", servers));
+            String example = Files.readString(Path.of("deploy/config.example.json"));
+            Files.writeString(file, example.replace("127.0.0.1:8500", discovery.hostPort())
+                    .replace(entry(0, "127.0.0.1:10801", "active"), servers));
             config = Config.read(file);
         } finally {
             Files.delete(file);
         }
         serve = new Serve(config, nbd);
+        serve.start();
     }
 
     private String lists() throws InterruptedException {
