Bound what bodies hold: exact buffers, a bound on what is coming in, and a time for it

Requests are now written in parts without a copy (NodePool.Exchange), answers with a length are read into one array of it (http.Body), at most 4 MB of bodies come in at a time, and one that is not whole in its client's time is turned away (ClientListener.Receipt). Expect: 100-continue is answered. Idle node connections have their test.

--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 
 run: build
 	java -XX:SharedArchiveFile=target/cypressglade.jsa -Xlog:cds=off -Xlog:cds+dynamic=off -XX:+UseSerialGC \
-	  -XX:TieredStopAtLevel=1 -Xmx40m -Xss256k -jar target/cypressglade.jar serve --config $(CONFIG)
+	  -XX:TieredStopAtLevel=1 -Xmx48m -Xss256k -jar target/cypressglade.jar serve --config $(CONFIG)
 
 clean:
 	mvn -q clean
--- a/src/main/java/cypressglade/core/NodeDirectory.java
+++ b/src/main/java/cypressglade/core/NodeDirectory.java
@@ -26,7 +26,7 @@
     private long version;
 
     /** Takes in a list; returns the module's form of it. */
-    synchronized List<NodeEntry> update(NodeList list) {
+    public synchronized List<NodeEntry> update(NodeList list) {
         version = list.version();
         Set<Long> named = new HashSet<>();
         List<NodeEntry> entries = new ArrayList<>();
--- a/src/main/java/cypressglade/http/ClientListener.java
+++ b/src/main/java/cypressglade/http/ClientListener.java
@@ -11,6 +11,7 @@
 import cypressglade.core.Scheduler.Settings;
 import cypressglade.core.Time;
 import cypressglade.net.Loop;
+import io.undertow.Handlers;
 import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
 import io.undertow.connector.PooledByteBuffer;
@@ -32,11 +33,14 @@
 import java.util.Map;
 import java.util.function.BooleanSupplier;
 import org.xnio.IoUtils;
+import org.xnio.XnioExecutor;
 import org.xnio.conduits.ConduitStreamSourceChannel;
 
 /** Where clients connect. All of it runs on the I/O thread but the request's own task. */
 public final class ClientListener implements AutoCloseable {
     private static final int MOST_BODY = 64 * 1024;
+    private static final int MOST_RECEIVING = 4 << 20;
+    private static final int PARSE_LIMIT_MS = 10_000;
     private static final int MOST_HEAD = 16 * 1024;
     private static final int BUFFER = 16 * 1024;
     private static final int BACKLOG = 512;
@@ -49,11 +53,17 @@
     private final RequestPool pool;
     private final NodeLink<HttpWork> link;
     private final BooleanSupplier ready;
-    /** Client connections, each with whether a request is on it. */
-    private final Map<ServerConnection, Boolean> busy = new HashMap<>();
+    private final Map<ServerConnection, State> clients = new HashMap<>();
+    private int receiving;
     private final int mostKept;
     private volatile boolean leaving;
 
+    /** A client connection: whether a request is on it, and what room its body takes while it comes. */
+    private static final class State {
+        private boolean busy;
+        private int receiving;
+    }
+
     public ClientListener(Loop loop, InetSocketAddress address, Settings settings, Engine engine,
             Counters counters, RequestPool pool, NodeLink<HttpWork> link, BooleanSupplier ready,
             int mostConnections) {
@@ -69,11 +79,13 @@
                 .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
                 .setServerOption(UndertowOptions.MAX_HEADER_SIZE, MOST_HEAD)
                 .setServerOption(UndertowOptions.DECODE_URL, false)
+                .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, PARSE_LIMIT_MS)
                 .setSocketOption(org.xnio.Options.BACKLOG, BACKLOG)
                 .setSocketOption(org.xnio.Options.TCP_NODELAY, true)
                 .setSocketOption(org.xnio.Options.CONNECTION_HIGH_WATER, mostConnections)
                 .setSocketOption(org.xnio.Options.CONNECTION_LOW_WATER, mostConnections)
-                .addHttpListener(address.getPort(), address.getAddress().getHostAddress(), this::handle)
+                .addHttpListener(address.getPort(), address.getAddress().getHostAddress(),
+                        Handlers.httpContinueRead(this::handle))
                 .build();
     }
 
@@ -89,7 +101,7 @@
     public void leave() {
         leaving = true;
         loop.execute(() -> {
-            List.copyOf(busy.keySet()).stream().filter(connection -> !busy.get(connection))
+            List.copyOf(clients.keySet()).stream().filter(connection -> !clients.get(connection).busy)
                     .forEach(IoUtils::safeClose);
         });
     }
@@ -102,11 +114,13 @@
     private void handle(HttpServerExchange exchange) {
         Instant arrived = Time.now();
         ServerConnection connection = exchange.getConnection();
-        if (busy.put(connection, true) == null) {
-            connection.addCloseListener(closed -> loop.execute(() -> busy.remove(closed)));
-        }
+        State state = clients.computeIfAbsent(connection, first -> {
+            first.addCloseListener(closed -> loop.execute(() -> received(clients.remove(closed))));
+            return new State();
+        });
+        state.busy = true;
         exchange.addExchangeCompleteListener((done, next) -> {
-            busy.replace(connection, false);
+            state.busy = false;
             next.proceed();
         });
         exchange.dispatch(SameThreadExecutor.INSTANCE, () -> route(exchange, arrived));
@@ -132,17 +146,68 @@
             reject(exchange, rejected.status(), rejected.getMessage());
             return;
         }
+        Receipt receipt = new Receipt(exchange, request.expiry());
+        if (receiving > MOST_RECEIVING) {
+            receipt.turnAway();
+            return;
+        }
         // The receiver's bound leaves the connection open for the 413, where the exchange's own closes it.
         exchange.getRequestReceiver().setMaxBufferSize(MOST_BODY);
-        exchange.getRequestReceiver().receiveFullBytes((same, body) -> begin(same, request, body),
-                (same, failure) -> {
-                    if (failure instanceof Receiver.RequestToLargeException) {
-                        reject(same, 413, "the body is over 64 KiB");
-                    } else {
-                        counters.add(Name.MALFORMED);
-                        IoUtils.safeClose(connection(same));
-                    }
-                });
+        exchange.getRequestReceiver().receiveFullBytes((same, body) -> {
+            if (receipt.end()) {
+                begin(same, request, body);
+            }
+        }, (same, failure) -> {
+            if (!receipt.end()) {
+                return;
+            }
+            if (failure instanceof Receiver.RequestToLargeException) {
+                reject(same, 413, "the body is over 64 KiB");
+            } else {
+                counters.add(Name.MALFORMED);
+                IoUtils.safeClose(same.getConnection());
+            }
+        });
+    }
+
+    /**
+     * A body that is coming in. What is not whole when its client is about to stop waiting is turned away:
+     * its room must not be held for ever.
+     */
+    private final class Receipt {
+        private final HttpServerExchange exchange;
+        private final State state;
+        private final XnioExecutor.Key limit;
+        private boolean over;
+
+        Receipt(HttpServerExchange exchange, Instant until) {
+            this.exchange = exchange;
+            state = clients.get(exchange.getConnection());
+            boolean whole = exchange.isRequestComplete();
+            long told = exchange.getRequestContentLength();
+            state.receiving = 2 * (int) (whole ? 0 : told >= 0 ? told : MOST_BODY);
+            receiving += state.receiving;
+            limit = whole ? () -> true : loop.after(Time.until(until), this::turnAway);
+        }
+
+        /** Ends it; false where it has ended before. */
+        boolean end() {
+            if (over) {
+                return false;
+            }
+            over = true;
+            limit.remove();
+            received(state);
+            return true;
+        }
+
+        void turnAway() {
+            if (end()) {
+                counters.add(Name.REFUSED_NO_ROOM);
+                exchange.setPersistent(false);
+                answer(exchange, 503, new byte[0]);
+            }
+        }
     }
 
     private void begin(HttpServerExchange exchange, IoRequest request, byte[] body) {
@@ -188,8 +253,10 @@
         connection.getOriginalSourceConduit().resumeReads();
     }
 
-    private static HttpServerConnection connection(HttpServerExchange exchange) {
-        return (HttpServerConnection) exchange.getConnection();
+    /** The one place where the room of a body is given back. */
+    private void received(State state) {
+        receiving -= state.receiving;
+        state.receiving = 0;
     }
 
     private void reject(HttpServerExchange exchange, int status, String why) {
@@ -200,7 +267,7 @@
 
     private void answer(HttpServerExchange exchange, int status, byte[] body) {
         exchange.setStatusCode(status);
-        if (leaving || busy.size() > mostKept) { // idle ones must not keep new clients out
+        if (leaving || clients.size() > mostKept) { // idle ones must not keep new clients out
             exchange.setPersistent(false);
         }
         exchange.getResponseHeaders().put(Headers.CONTENT_LENGTH, Integer.toString(body.length));
--- a/src/main/java/cypressglade/http/NodeClient.java
+++ b/src/main/java/cypressglade/http/NodeClient.java
@@ -5,12 +5,12 @@
 import cypressglade.core.Scheduler.Status;
 import cypressglade.core.Time;
 import cypressglade.net.NodePool;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.Function;
@@ -37,12 +37,11 @@
     }
 
     private final class HttpExchange extends NodePool.Exchange {
-        private final Function<Duration, ByteBuffer> message;
-        private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+        private final Function<Duration, List<ByteBuffer>> message;
+        private final Body body = new Body(MOST_BODY);
         private final ResponseParser parser = new ResponseParser(this::take);
-        private boolean tooLong;
 
-        HttpExchange(long node, Function<Duration, ByteBuffer> message, Instant until,
+        HttpExchange(long node, Function<Duration, List<ByteBuffer>> message, Instant until,
                 Consumer<Ending> ended) {
             pool.super(node, until, ended);
             this.message = message;
@@ -54,7 +53,7 @@
         }
 
         @Override
-        protected ByteBuffer message(Duration left) {
+        protected List<ByteBuffer> message(Duration left) {
             return message.apply(left);
         }
 
@@ -75,23 +74,18 @@
 
         @Override
         protected byte[] answer() {
-            return body.toByteArray();
+            return body.bytes();
         }
 
         private Status status() {
             if (parser.neverRan() && (parser.status() == 503 || parser.status() == 504)) {
                 return Status.FULL;
             }
-            return parser.status() == 200 && !tooLong ? Status.OK : Status.ERROR;
+            return parser.status() == 200 && !body.tooLong() ? Status.OK : Status.ERROR;
         }
 
         private void take(ByteBuffer part) {
-            tooLong |= body.size() + part.remaining() > MOST_BODY;
-            if (!tooLong) {
-                byte[] bytes = new byte[part.remaining()];
-                part.get(bytes);
-                body.writeBytes(bytes);
-            }
+            body.add(part, parser.length());
         }
     }
 }
--- a/src/main/java/cypressglade/http/ResponseParser.java
+++ b/src/main/java/cypressglade/http/ResponseParser.java
@@ -19,6 +19,7 @@
     private int headBytes;
     private int status;
     private long left = -1;
+    private long length = -1;
     private boolean chunked;
     private boolean close;
     private boolean neverRan;
@@ -55,6 +56,11 @@
         return status;
     }
 
+    /** The length of the body, or -1 where none was told. */
+    long length() {
+        return chunked ? -1 : length;
+    }
+
     boolean neverRan() {
         return neverRan;
     }
@@ -131,7 +137,10 @@
         }
         String value = text.substring(colon + 1).trim();
         switch (text.substring(0, colon).toLowerCase(Locale.ROOT)) {
-            case "content-length" -> left = number(value, 10, Integer.MAX_VALUE);
+            case "content-length" -> {
+                left = number(value, 10, Integer.MAX_VALUE);
+                length = left;
+            }
             case "transfer-encoding" -> chunked = value.equalsIgnoreCase("chunked");
             case "connection" -> close |= value.equalsIgnoreCase("close");
             case "x-never-ran" -> neverRan = value.equals("1");
--- a/src/main/java/cypressglade/nbd/NbdNodeLink.java
+++ b/src/main/java/cypressglade/nbd/NbdNodeLink.java
@@ -11,6 +11,7 @@
 import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
 
@@ -86,7 +87,7 @@
         }
 
         @Override
-        protected ByteBuffer message(Duration left) {
+        protected List<ByteBuffer> message(Duration left) {
             return work.message(cookie);
         }
 
@@ -118,7 +119,7 @@
         }
 
         @Override
-        protected ByteBuffer message(Duration left) {
+        protected List<ByteBuffer> message(Duration left) {
             return new NbdWork(config.exports().get(0), Nbd.CMD_DISC, 0, 0, new byte[0], NbdWork.ANY_NODE)
                     .message(0);
         }
--- a/src/main/java/cypressglade/nbd/NbdWork.java
+++ b/src/main/java/cypressglade/nbd/NbdWork.java
@@ -1,6 +1,7 @@
 package cypressglade.nbd;
 
 import java.nio.ByteBuffer;
+import java.util.List;
 
 /** One command as it goes to one node: a part of a client's command, inside one shard. */
 record NbdWork(NbdConfig.Export export, int type, long offset, int length, byte[] data, long onlyNode) {
@@ -21,9 +22,9 @@
         return new NbdWork(export, Nbd.CMD_FLUSH, 0, 0, NONE, onlyNode);
     }
 
-    ByteBuffer message(long cookie) {
-        return ByteBuffer.allocate(Nbd.REQUEST_HEADER + data.length).putInt(Nbd.REQUEST_MAGIC)
-                .putShort((short) 0).putShort((short) type).putLong(cookie).putLong(offset).putInt(length)
-                .put(data).flip();
+    List<ByteBuffer> message(long cookie) {
+        return List.of(ByteBuffer.allocate(Nbd.REQUEST_HEADER).putInt(Nbd.REQUEST_MAGIC).putShort((short) 0)
+                .putShort((short) type).putLong(cookie).putLong(offset).putInt(length).flip(),
+                ByteBuffer.wrap(data));
     }
 }
--- a/src/main/java/cypressglade/net/NodePool.java
+++ b/src/main/java/cypressglade/net/NodePool.java
@@ -14,6 +14,7 @@
 import java.util.ArrayDeque;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
@@ -149,7 +150,8 @@
             ready.run();
         }
 
-        protected abstract ByteBuffer message(Duration left);
+        /** The request, in parts that are written one after the other without a copy. */
+        protected abstract List<ByteBuffer> message(Duration left);
 
         /** Takes what came; how the exchange ended once the answer is whole. */
         protected abstract Optional<Status> read(ByteBuffer in) throws IOException;
--- a/src/main/java/cypressglade/net/Wire.java
+++ b/src/main/java/cypressglade/net/Wire.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
+import java.util.List;
 import org.xnio.IoUtils;
 import org.xnio.StreamConnection;
 import org.xnio.conduits.ConduitStreamSourceChannel;
@@ -49,9 +50,14 @@
 
     /** Writes as soon as the socket takes it. */
     public void send(ByteBuffer bytes) {
-        if (!closed && bytes.hasRemaining()) {
-            output.add(bytes);
-            unsent += bytes.remaining();
+        send(List.of(bytes));
+    }
+
+    /** Writes the parts, in order, as soon as the socket takes them. */
+    public void send(List<ByteBuffer> parts) {
+        if (!closed) {
+            output.addAll(parts);
+            unsent += parts.stream().mapToLong(ByteBuffer::remaining).sum();
             write();
         }
     }
--- a/src/test/java/cypressglade/http/ServeTest.java
+++ b/src/test/java/cypressglade/http/ServeTest.java
@@ -236,6 +236,42 @@
         assertThat(site.serve.counters().get(Name.ANSWERED_REFUSED)).isBetween(4L, 5L);
     }
 
+    /** Guards against a body that trickles in and holds its room for ever. */
+    @Test
+    void bodyThatIsNotWholeInItsClientsTimeIsTurnedAway() throws Exception {
+        try (Socket client = site.connect()) {
+            client.getOutputStream().write(("PUT " + WRITE + " HTTP/1.1\r\nHost: x\r\n"
+                    + Site.headers(200, "standard", "units=2,shard=0,hosts=1") + "Content-Length: 9\r\n\r\nhalf")
+                    .getBytes(StandardCharsets.ISO_8859_1));
+            DataInputStream in = new DataInputStream(client.getInputStream());
+            assertThat(Message.read(in).status()).isEqualTo(503);
+            assertThat(in.read()).isEqualTo(-1);
+        }
+        assertThat(site.serve.counters().get(Name.TAKEN)).isZero();
+    }
+
+    @Test
+    void clientThatWaitsToBeToldToGoOnIsTold() throws Exception {
+        try (Socket client = site.connect()) {
+            DataInputStream in = new DataInputStream(client.getInputStream());
+            client.getOutputStream().write(("PUT " + WRITE + " HTTP/1.1\r\nHost: x\r\n" + HEADERS
+                    + "Expect: 100-continue\r\nContent-Length: 4\r\n\r\n").getBytes(StandardCharsets.ISO_8859_1));
+            assertThat(Message.read(in).status()).isEqualTo(100);
+            client.getOutputStream().write("data".getBytes(StandardCharsets.ISO_8859_1));
+            assertThat(Message.read(in).status()).isEqualTo(200);
+        }
+        assertThat(next().body()).isEqualTo("data");
+    }
+
+    @Test
+    void chunkedAnswerIsServedWholeAndOneThatIsTooLongIsNot() throws Exception {
+        node.script((request, out) -> HttpPeer.write(out, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                + "2710\r\n" + "a".repeat(10_000) + "\r\n1\r\nb\r\n0\r\n\r\n"));
+        assertThat(read().body()).isEqualTo("a".repeat(10_000) + "b");
+        node.script(answer(200, "", "x".repeat(65_537)));
+        assertThat(write().status()).isEqualTo(502);
+    }
+
     @Test
     void countersAreShownOnRequest() throws Exception {
         read();
--- /dev/null
+++ b/src/test/java/cypressglade/net/NodePoolTest.java
@@ -0,0 +1,87 @@
+package cypressglade.net;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import cypressglade.core.Counters;
+import cypressglade.core.NodeDirectory;
+import cypressglade.core.NodeLink.Ending;
+import cypressglade.core.NodeList;
+import cypressglade.core.Scheduler.State;
+import cypressglade.core.Scheduler.Status;
+import cypressglade.core.Time;
+import cypressglade.standin.StandIn;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+/** Node connections by themselves, against a node that answers each byte with a byte. */
+class NodePoolTest {
+    private final CountDownLatch nodeSawTheEnd = new CountDownLatch(1);
+    private final StandIn node = new StandIn() {
+        @Override
+        protected void talk(DataInputStream in, DataOutputStream out) throws Exception {
+            for (int next = in.read(); next >= 0; next = in.read()) {
+                out.write(next);
+                out.flush();
+            }
+            nodeSawTheEnd.countDown();
+        }
+    };
+
+    private Ending exchange(NodePool pool, long number) throws Exception {
+        CompletableFuture<Ending> ended = new CompletableFuture<>();
+        NodePool.Exchange exchange = pool.new Exchange(number, Time.now().plusSeconds(5), ended::complete) {
+            @Override
+            protected Optional<InetSocketAddress> address(NodeDirectory.Known known) {
+                return Optional.of(known.address());
+            }
+
+            @Override
+            protected List<ByteBuffer> message(Duration left) {
+                return List.of(ByteBuffer.wrap(new byte[] {7}));
+            }
+
+            @Override
+            protected Optional<Status> read(ByteBuffer in) {
+                in.position(in.limit());
+                return Optional.of(Status.OK);
+            }
+
+            @Override
+            protected boolean reusable() {
+                return true;
+            }
+
+            @Override
+            protected byte[] answer() {
+                return new byte[0];
+            }
+        };
+        exchange.start();
+        return ended.get(5, TimeUnit.SECONDS);
+    }
+
+    @Test
+    void idleConnectionIsClosedWellBeforeTheNodesLimitAndUnknownNodesGetNothing() throws Exception {
+        try (node; Loop loop = new Loop()) {
+            NodeDirectory directory = new NodeDirectory();
+            directory.update(new NodeList(1, true, List.of(new NodeList.Entry("s-0", node.address(), 0, 0, 0,
+                    State.READY, 1, Instant.EPOCH))));
+            NodePool pool = new NodePool(loop, directory, new Counters(), Duration.ofMillis(250),
+                    Duration.ofMillis(200), 4);
+            assertThat(exchange(pool, 1).status()).isEqualTo(Status.OK);
+            assertThat(nodeSawTheEnd.await(5, TimeUnit.SECONDS)).isTrue();
+            assertThat(exchange(pool, 2).status()).isEqualTo(Status.CONNECT_FAILED);
+            assertThat(node.connections).hasValue(1);
+        }
+    }
+}
