--- a/src/main/java/cypressglade/cli/Main.java
+++ b/src/main/java/cypressglade/cli/Main.java
@@ -18,6 +18,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.Optional;
 
 /** The command line. */
@@ -25,7 +26,7 @@
     private static final int OK = 0;
     private static final int FAILED = 1;
     private static final int USAGE = 2;
-    private static final int ASK_LIMIT_MS = 5000;
+    private static final Duration ASK_LIMIT = Duration.ofSeconds(5);
 
     private Main() { }
 
@@ -132,7 +133,7 @@
 
     private static String ask(Serve scheduler, String path, String headers) throws IOException {
         try (Socket socket = new Socket(scheduler.address().getAddress(), scheduler.address().getPort())) {
-            socket.setSoTimeout(ASK_LIMIT_MS);
+            socket.setSoTimeout((int) ASK_LIMIT.toMillis());
             socket.getOutputStream().write(("GET " + path + " HTTP/1.1\r\nHost: check\r\n" + headers + "\r\n")
                     .getBytes(StandardCharsets.US_ASCII));
             return new BufferedReader(new InputStreamReader(socket.getInputStream(),
--- a/src/main/java/cypressglade/core/RequestLife.java
+++ b/src/main/java/cypressglade/core/RequestLife.java
@@ -133,7 +133,7 @@
             if (until.equals(Instant.MAX)) {
                 return signals.take();
             }
-            Signal signal = signals.poll(Micros.of(Time.until(until)), TimeUnit.MICROSECONDS);
+            Signal signal = signals.poll(Time.until(until).toNanos(), TimeUnit.NANOSECONDS);
             return signal == null ? new Late() : signal;
         } catch (InterruptedException end) {
             return new Late();
--- a/src/main/java/cypressglade/core/RequestPool.java
+++ b/src/main/java/cypressglade/core/RequestPool.java
@@ -1,5 +1,6 @@
 package cypressglade.core;
 
+import java.time.Duration;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.SynchronousQueue;
 import java.util.concurrent.ThreadPoolExecutor;
@@ -7,15 +8,15 @@
 
 /** The tasks of the open requests: each blocks on its own thread, and their number is bounded. */
 public final class RequestPool implements AutoCloseable {
-    private static final long KEEP_SECONDS = 20;
+    private static final Duration KEEP = Duration.ofSeconds(20);
 
     private final ThreadPoolExecutor pool;
     private final Counters counters;
 
     public RequestPool(int most, long stackBytes, Counters counters) {
         this.counters = counters;
-        pool = new ThreadPoolExecutor(0, most, KEEP_SECONDS, TimeUnit.SECONDS, new SynchronousQueue<>(),
-                task -> {
+        pool = new ThreadPoolExecutor(0, most, KEEP.toMillis(), TimeUnit.MILLISECONDS,
+                new SynchronousQueue<>(), task -> {
                     Thread thread = new Thread(null, task, "request", stackBytes);
                     thread.setDaemon(true);
                     return thread;
--- a/src/main/java/cypressglade/http/ClientListener.java
+++ b/src/main/java/cypressglade/http/ClientListener.java
@@ -40,7 +40,7 @@
 public final class ClientListener implements AutoCloseable {
     private static final int MOST_BODY = 64 * 1024;
     private static final int MOST_RECEIVING = 4 << 20;
-    private static final int PARSE_LIMIT_MS = 10_000;
+    private static final Duration PARSE_LIMIT = Duration.ofSeconds(10);
     private static final int MOST_HEAD = 16 * 1024;
     private static final int BUFFER = 16 * 1024;
     private static final int BACKLOG = 512;
@@ -79,7 +79,7 @@
                 .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
                 .setServerOption(UndertowOptions.MAX_HEADER_SIZE, MOST_HEAD)
                 .setServerOption(UndertowOptions.DECODE_URL, false)
-                .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, PARSE_LIMIT_MS)
+                .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, (int) PARSE_LIMIT.toMillis())
                 .setSocketOption(org.xnio.Options.BACKLOG, BACKLOG)
                 .setSocketOption(org.xnio.Options.TCP_NODELAY, true)
                 .setSocketOption(org.xnio.Options.CONNECTION_HIGH_WATER, mostConnections)
--- a/src/main/java/cypressglade/http/HttpWork.java
+++ b/src/main/java/cypressglade/http/HttpWork.java
@@ -1,6 +1,5 @@
 package cypressglade.http;
 
-import cypressglade.core.Micros;
 import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.List;
@@ -15,7 +14,7 @@
     List<ByteBuffer> message(Duration left) {
         StringBuilder head = new StringBuilder(200).append(method).append(' ').append(target)
                 .append(" HTTP/1.1\r\nHost: backend.local\r\nX-Trace-Id: ").append(traceId)
-                .append("\r\nX-Expires-In-Ms: ").append(Math.max(1, Micros.of(left) / 1000));
+                .append("\r\nX-Expires-In-Ms: ").append(Math.max(1, left.toMillis()));
         if (!method.equals("GET") || body.length > 0) {
             head.append("\r\nContent-Length: ").append(body.length);
         }
