Tell a node's slow connection from a request whose own time ran out

Seen in review (NodePool.Exchange.open and begin): a connect that the request's own remaining time cut short ended as a failed connection, which makes the module take the node for dead until a probe comes back. It ends as moot now, the wire's word for an attempt not made since its time had expired.

--- a/src/main/java/cypressglade/net/NodePool.java
+++ b/src/main/java/cypressglade/net/NodePool.java
@@ -175,7 +175,7 @@
         private void open() {
             Optional<InetSocketAddress> address = directory.ready(node).flatMap(this::address);
             if (address.isEmpty()) {
-                holdBack();
+                holdBack(Status.CONNECT_FAILED);
                 return;
             }
             use = address.get() + purpose();
@@ -188,7 +188,9 @@
             makeRoom();
             connections++;
             counters.add(Counters.Name.CONNECTIONS_OPENED);
-            limit(shorter(connectLimit, Time.until(until)));
+            Duration left = Time.until(until);
+            boolean requestFirst = left.compareTo(connectLimit) < 0;
+            limit(requestFirst ? left : connectLimit, requestFirst ? Status.MOOT : Status.CONNECT_FAILED);
             dial = loop.dial(address.get(), this::connected, this::notConnected);
         }
 
@@ -207,7 +209,10 @@
             end(Status.CONNECT_FAILED);
         }
 
-        /** A slow connect must not send late: the node may drain by now, or the time may be up. */
+        /**
+         * A slow connect must not send late: the node may drain by now, or the time may be up. The latter
+         * says nothing of the node.
+         */
         private void begin() {
             if (over) {
                 return;
@@ -216,18 +221,18 @@
             if (left.isZero() || directory.ready(node).isEmpty()) {
                 keep(wire, use);
                 wire = null;
-                holdBack();
+                holdBack(left.isZero() ? Status.MOOT : Status.CONNECT_FAILED);
                 return;
             }
             begun = true;
-            limit(left);
+            limit(left, Status.TIMEOUT);
             wire.listen(this);
             wire.send(message(left));
         }
 
-        private void holdBack() {
+        private void holdBack(Status status) {
             counters.add(Counters.Name.HELD_BACK_AT_NODE);
-            end(Status.CONNECT_FAILED);
+            end(status);
         }
 
         @Override
@@ -244,19 +249,19 @@
 
         @Override
         public final void ended() {
-            end(readToEnd().orElseGet(() -> lost(Status.RESET)));
+            end(readToEnd().orElseGet(() -> written(Status.RESET)));
         }
 
         /** Work whose last byte was not written has never run; after that it may have. */
-        private Status lost(Status status) {
-            return begun && wire.unsent() == 0 ? status : Status.CONNECT_FAILED;
+        private Status written(Status status) {
+            return begun && wire.unsent() > 0 ? Status.CONNECT_FAILED : status;
         }
 
-        private void limit(Duration left) {
+        private void limit(Duration left, Status status) {
             if (limit != null) {
                 limit.remove();
             }
-            limit = loop.after(left, () -> end(lost(Status.TIMEOUT)));
+            limit = loop.after(left, () -> end(written(status)));
         }
 
         /** The one end of an exchange. Its connection is closed, unless it was kept, before anyone hears. */
--- a/src/test/java/cypressglade/net/NodePoolTest.java
+++ b/src/test/java/cypressglade/net/NodePoolTest.java
@@ -25,6 +25,8 @@
 
 /** Node connections by themselves, against a node that answers each byte with a byte. */
 class NodePoolTest {
+    private static final Duration LONG = Duration.ofSeconds(5);
+
     private final CountDownLatch nodeSawTheEnd = new CountDownLatch(1);
     private final StandIn node = new StandIn() {
         @Override
@@ -37,9 +39,17 @@
         }
     };
 
-    private Ending exchange(NodePool pool, long number) throws Exception {
+    private static Ending exchange(NodePool pool, long number, Duration time, boolean connects)
+            throws Exception {
         CompletableFuture<Ending> ended = new CompletableFuture<>();
-        NodePool.Exchange exchange = pool.new Exchange(number, Time.now().plusSeconds(5), ended::complete) {
+        NodePool.Exchange exchange = pool.new Exchange(number, Time.now().plus(time), ended::complete) {
+            @Override
+            protected void prepare(Wire fresh, Runnable ready, Runnable unusable) {
+                if (connects) {
+                    ready.run();
+                }
+            }
+
             @Override
             protected Optional<InetSocketAddress> address(NodeDirectory.Known known) {
                 return Optional.of(known.address());
@@ -73,15 +83,28 @@
     @Test
     void idleConnectionIsClosedWellBeforeTheNodesLimitAndUnknownNodesGetNothing() throws Exception {
         try (node; Loop loop = new Loop()) {
-            NodeDirectory directory = new NodeDirectory();
-            directory.update(new NodeList(1, true, List.of(new NodeList.Entry("s-0", node.address(), 0, 0, 0,
-                    State.READY, 1, Instant.EPOCH))));
-            NodePool pool = new NodePool(loop, directory, new Counters(), Duration.ofMillis(250),
-                    Duration.ofMillis(200), 4);
-            assertThat(exchange(pool, 1).status()).isEqualTo(Status.OK);
+            NodePool pool = pool(loop);
+            assertThat(exchange(pool, 1, LONG, true).status()).isEqualTo(Status.OK);
             assertThat(nodeSawTheEnd.await(5, TimeUnit.SECONDS)).isTrue();
-            assertThat(exchange(pool, 2).status()).isEqualTo(Status.CONNECT_FAILED);
+            assertThat(exchange(pool, 2, LONG, true).status()).isEqualTo(Status.CONNECT_FAILED);
             assertThat(node.connections).hasValue(1);
         }
     }
+
+    /** Guards against a node being taken for dead when it was the request whose time ran out. */
+    @Test
+    void slowConnectionSpeaksOfTheNodeOnlyWhereTheRequestHadTime() throws Exception {
+        try (node; Loop loop = new Loop()) {
+            NodePool pool = pool(loop);
+            assertThat(exchange(pool, 1, Duration.ofMillis(20), false).status()).isEqualTo(Status.MOOT);
+            assertThat(exchange(pool, 1, LONG, false).status()).isEqualTo(Status.CONNECT_FAILED);
+        }
+    }
+
+    private NodePool pool(Loop loop) {
+        NodeDirectory directory = new NodeDirectory();
+        directory.update(new NodeList(1, true, List.of(new NodeList.Entry("s-0", node.address(), 0, 0, 0,
+                State.READY, 1, Instant.EPOCH))));
+        return new NodePool(loop, directory, new Counters(), Duration.ofMillis(250), Duration.ofMillis(200), 4);
+    }
 }
