--- a/src/main/java/cypressglade/core/Engine.java
+++ b/src/main/java/cypressglade/core/Engine.java
@@ -70,8 +70,8 @@
     /** Takes in what discovery told; it counts for the links at once. */
     public void told(NodeList list) {
         var entries = directory.update(list);
-        counters.add(Counters.Name.LISTS);
         post(() -> scheduler.nodes(now(), NodeDirectory.kind(list), entries));
+        counters.add(Counters.Name.LISTS);
     }
 
     void taken(RequestLife<?> life, IoRequest request) {
--- a/src/test/java/cypressglade/http/ServeTest.java
+++ b/src/test/java/cypressglade/http/ServeTest.java
@@ -223,9 +223,23 @@
         });
         stopping.countDown();
         assertThat(taken.get(5, TimeUnit.SECONDS).body()).isEqualTo("in time");
+        assertThat(read().body()).isEqualTo("in time"); // what still comes is served too
         stopped.get(5, TimeUnit.SECONDS);
     }
 
+    @Test
+    void stopClosesIdleConnections() throws Exception {
+        try (Socket client = site.connect()) {
+            client.getOutputStream().write(Site.request("GET", READ, HEADERS, "")
+                    .getBytes(StandardCharsets.ISO_8859_1));
+            DataInputStream in = new DataInputStream(client.getInputStream());
+            assertThat(Message.read(in).status()).isEqualTo(200);
+            CompletableFuture<Void> stopped = site.drain();
+            assertThat(in.read()).isEqualTo(-1);
+            stopped.get(5, TimeUnit.SECONDS);
+        }
+    }
+
     @Test
     void limitOfAPlanIsKept() throws Exception {
         String headers = Site.headers(300, "basic", "units=2,shard=0,hosts=1");
