Count only attempts that were made, so that a stray cancel shifts no number

Seen in review (RequestLife.run): the loop counted every order it took, so a cancel that came after its attempt had ended made the next attempt's outcome unknown to the module. The new test fails without the change and passes with it. The module orders no cancels today.

--- a/src/main/java/cypressglade/core/RequestLife.java
+++ b/src/main/java/cypressglade/core/RequestLife.java
@@ -71,7 +71,8 @@
     @Override
     public void run() {
         engine.taken(this, request);
-        for (int attempt = 0;; attempt++) {
+        int attempt = 0;
+        while (true) {
             Signal order = await(request.expiry().plus(ORDER_GRACE));
             if (order instanceof Send send) {
                 counters.add(Name.SENT);
@@ -88,6 +89,7 @@
                 if (served || gone) {
                     return;
                 }
+                attempt++;
             } else if (order instanceof Refuse refuse) {
                 counters.add(Name.ANSWERED_REFUSED);
                 caller.refused(refuse.retryAfter());
--- a/src/test/java/cypressglade/core/RequestLifeTest.java
+++ b/src/test/java/cypressglade/core/RequestLifeTest.java
@@ -138,6 +138,17 @@
         assertThat(answer()).isEqualTo("served 3");
     }
 
+    /** Guards against the module losing an outcome since a late cancel was counted as an attempt. */
+    @Test
+    void cancelOfNothingCountsAsNoAttempt() throws Exception {
+        RequestLife<String> life = life(Duration.ofSeconds(2));
+        life.signal(new RequestLife.Cancel(0));
+        pool.start(life);
+        attempt().accept(Ending.of(Status.FULL));
+        attempt().accept(new Ending(Status.OK, DATA));
+        assertThat(answer()).isEqualTo("served 3");
+    }
+
     /** Guards against a request without an answer where the module says nothing. */
     @Test
     void silentModuleIsMadeUpForByTheDeadline() throws Exception {
