--- a/src/main/java/cypressglade/http/DiscoveryWatch.java
+++ b/src/main/java/cypressglade/http/DiscoveryWatch.java
@@ -32,6 +32,7 @@
     private final Engine engine;
     private final Counters counters;
     private Watch current;
+    private String told = "";
 
     public DiscoveryWatch(Loop loop, InetSocketAddress address, NodeListParser lists, NodeDirectory directory,
             Engine engine, Counters counters) {
@@ -85,6 +86,7 @@
         @Override
         public void received(ByteBuffer in) throws IOException {
             heard = Time.now();
+            told = "";
             boolean whole = parser.feed(in);
             if (fault != null || whole) {
                 throw new IOException(fault == null ? "ended" : fault);
@@ -128,7 +130,10 @@
                     wire.close();
                 }
                 counters.add(Counters.Name.WATCH_BROKEN);
-                LOG.log(System.Logger.Level.INFO, "discovery watch: {0}", why);
+                if (!why.equals(told)) { // an outage is told once, however often it is tried again
+                    told = why;
+                    LOG.log(System.Logger.Level.INFO, "discovery watch: {0}", why);
+                }
                 loop.after(AGAIN, DiscoveryWatch.this::open);
             }
         }
