Test that a connection that never comes up ends by its limit

Seen: no test covered a machine that is cut off. A listener with a full backlog swallows connections in the same way; with the connect limit taken out (NodePool) the new test fails, with it the attempt ends as a failed connection, which never ran.

--- a/src/test/java/cypressglade/net/NodePoolTest.java
+++ b/src/test/java/cypressglade/net/NodePoolTest.java
@@ -12,10 +12,15 @@
 import cypressglade.standin.StandIn;
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -118,9 +123,38 @@
         }
     }
 
+    /** Guards against waiting on a machine that is cut off: a full backlog swallows connections as it does. */
+    @Test
+    void connectionThatNeverComesUpEndsByItsLimit() throws Exception {
+        List<Socket> fillers = new ArrayList<>();
+        try (node; Loop loop = new Loop(); ServerSocket deaf = new ServerSocket(0, 1,
+                InetAddress.getLoopbackAddress())) {
+            InetSocketAddress address = (InetSocketAddress) deaf.getLocalSocketAddress();
+            try {
+                while (fillers.size() < 20) {
+                    fillers.add(new Socket());
+                    fillers.get(fillers.size() - 1).connect(address, 100);
+                }
+                throw new AssertionError("the backlog has no end");
+            } catch (SocketTimeoutException full) {
+                NodePool pool = pool(loop);
+                tell(State.READY, address);
+                assertThat(exchange(pool, 1, LONG, Runnable::run).status()).isEqualTo(Status.CONNECT_FAILED);
+            }
+        } finally {
+            for (Socket filler : fillers) {
+                filler.close();
+            }
+        }
+    }
+
     private void tell(State state) {
-        directory.update(new NodeList(1, true, List.of(new NodeList.Entry("s-0", node.address(), 0, 0, 0,
-                state, 1, Instant.EPOCH))));
+        tell(state, node.address());
+    }
+
+    private void tell(State state, InetSocketAddress address) {
+        directory.update(new NodeList(1, true, List.of(new NodeList.Entry("s-0", address, 0, 0, 0, state, 1,
+                Instant.EPOCH))));
     }
 
     private NodePool pool(Loop loop) {
