--- a/src/main/java/cypressglade/cli/Main.java
+++ b/src/main/java/cypressglade/cli/Main.java
@@ -46,18 +46,20 @@
     }
 
     /** Commands that take a configuration. */
-    private static class ConfigCommand {
+    private static class ConfigCommand implements Reload.Source {
         @Parameter(names = "--config", description = "config.json; by default what ROUTER_CONFIG names")
         private String config = System.getenv("ROUTER_CONFIG");
 
         @Parameter(names = "--nbd", description = "the file of the NBD front; off without it")
         private String nbd = "deploy/nbd.json";
 
-        Optional<NbdConfig> readNbd(Config scheduler) throws ConfigException {
+        @Override
+        public Optional<NbdConfig> readNbd(Config scheduler) throws ConfigException {
             return NbdConfigParser.read(Path.of(nbd), scheduler.settings());
         }
 
-        Config read() throws ConfigException {
+        @Override
+        public Config read() throws ConfigException {
             if (config == null || config.isEmpty()) {
                 throw new ConfigException("no configuration: give --config or set ROUTER_CONFIG");
             }
@@ -80,8 +82,10 @@
             commands.parse(args);
             switch (Optional.ofNullable(commands.getParsedCommand()).orElse("")) {
                 case "serve" -> {
+                    Reload reload = new Reload(serve);
+                    Signals.onHangUp(reload);
                     Config config = serve.read();
-                    return serve(new Serve(config, serve.readNbd(config)), out);
+                    return serve(new Serve(config, serve.readNbd(config)), reload, out);
                 }
                 case "adapter" -> {
                     return Adapter.run(in, out, errors);
@@ -141,7 +145,8 @@
         }
     }
 
-    private static int serve(Serve scheduler, PrintStream out) {
+    private static int serve(Serve scheduler, Reload reload, PrintStream out) {
+        reload.to(scheduler);
         // Guards against a signal to stop between the first answer to /healthz and the hook.
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             try {
--- /dev/null
+++ b/src/main/java/cypressglade/cli/Reload.java
@@ -0,0 +1,52 @@
+package cypressglade.cli;
+
+import cypressglade.config.Config;
+import cypressglade.config.ConfigException;
+import cypressglade.core.Counters;
+import cypressglade.nbd.NbdConfig;
+import java.util.Optional;
+
+/** The one owner of a reload: reads the files again and hands them on whole, or changes nothing. */
+final class Reload implements Runnable {
+    private static final System.Logger LOG = System.getLogger(Reload.class.getName());
+
+    private final Source source;
+    private Serve scheduler;
+    private boolean early;
+
+    /** Where the files are. */
+    interface Source {
+        Config read() throws ConfigException;
+
+        Optional<NbdConfig> readNbd(Config scheduler) throws ConfigException;
+    }
+
+    Reload(Source source) {
+        this.source = source;
+    }
+
+    /** Names the scheduler once it is there; a signal that came before it counts now. */
+    synchronized void to(Serve started) {
+        scheduler = started;
+        if (early) {
+            run();
+        }
+    }
+
+    @Override
+    public synchronized void run() {
+        if (scheduler == null) {
+            early = true;
+            return;
+        }
+        try {
+            Config next = source.read();
+            scheduler.use(next, source.readNbd(next));
+            scheduler.counters().add(Counters.Name.RELOADS);
+            LOG.log(System.Logger.Level.INFO, "reloaded: discovery at {0}", next.discovery());
+        } catch (ConfigException unusable) {
+            scheduler.counters().add(Counters.Name.RELOADS_REJECTED);
+            LOG.log(System.Logger.Level.ERROR, "the old configuration stays: {0}", unusable.getMessage());
+        }
+    }
+}
--- a/src/main/java/cypressglade/cli/Serve.java
+++ b/src/main/java/cypressglade/cli/Serve.java
@@ -24,10 +24,7 @@
 
 /** One real scheduler: its parts, from start to stop. */
 public final class Serve implements AutoCloseable {
-    /** The README's arithmetic rests on these. */
-    private static final int MOST_OPEN = 256;
-    private static final int MOST_NODE_CONNECTIONS = 420;
-    private static final int MOST_CLIENT_CONNECTIONS = 460;
+    private static final System.Logger LOG = System.getLogger(Serve.class.getName());
     private static final int STACK_BYTES = 160 * 1024;
 
     /** New connections go on coming for up to 0.4 s after the signal to stop. */
@@ -37,12 +34,15 @@
     private static final Duration LOOK = Duration.ofMillis(10);
     private static final Duration SETTLE = Duration.ofMillis(50);
 
-    private final Config config;
+    private volatile Config config;
     private final Counters counters = new Counters();
     private final Loop loop;
     private final Engine engine;
     private final RequestPool pool;
     private final ClientListener clients;
+    private final NodePool connections;
+    private final DiscoveryWatch discovery;
+    private final Optional<NbdNodeLink> nbdNodes;
     private final Optional<NbdListener> blockClients;
     private volatile boolean ready;
 
@@ -51,17 +51,19 @@
         loop = new Loop();
         NodeDirectory directory = new NodeDirectory();
         engine = new Engine(config.settings(), directory, counters);
-        pool = new RequestPool(MOST_OPEN, STACK_BYTES, counters);
-        NodePool connections = new NodePool(loop, directory, counters, config.connectTimeout(),
-                config.idleLimit(), MOST_NODE_CONNECTIONS);
+        pool = new RequestPool(config.budget().requests(), STACK_BYTES, counters);
+        connections = new NodePool(loop, directory, counters, config.connectTimeout(),
+                config.idleLimit(), config.budget().nodeConnections());
         NodeClient nodes = new NodeClient(connections);
-        Optional<NbdNodeLink> nbdNodes = nbd.map(front -> new NbdNodeLink(connections, front));
+        nbdNodes = nbd.map(front -> new NbdNodeLink(connections, front));
         engine.start(node -> nbdNodes.isPresent() && nbdNodes.get().speaksTo(directory.ready(node))
                 ? nbdNodes.get() : nodes);
         engine.told(config.known());
-        new DiscoveryWatch(loop, config.discovery(), config.nodeLists(), directory, engine, counters).start();
+        discovery = new DiscoveryWatch(loop, config.discovery(), config.nodeLists(), directory, engine,
+                counters);
+        discovery.start();
         clients = new ClientListener(loop, config.listen(), config.settings(), engine, counters, pool, nodes,
-                () -> ready, MOST_CLIENT_CONNECTIONS);
+                () -> ready, config.budget());
         blockClients = nbd.isEmpty() ? Optional.empty() : Optional.of(new NbdListener(loop, nbd.get(),
                 config.settings(), engine, directory, counters, pool, nbdNodes.get()));
     }
@@ -72,6 +74,24 @@
         ready = true;
     }
 
+    /** Takes a new configuration: each part is handed its own values whole, and what is open goes on. */
+    public void use(Config next, Optional<NbdConfig> nbd) {
+        engine.use(next.settings());
+        clients.use(next.settings(), next.budget());
+        pool.use(next.budget().requests());
+        connections.use(next.connectTimeout(), next.idleLimit(), next.budget().nodeConnections());
+        discovery.use(next.discovery(), next.nodeLists());
+        if (nbd.isPresent() && blockClients.isPresent()) {
+            nbdNodes.get().use(nbd.get());
+            blockClients.get().use(nbd.get(), next.settings());
+        }
+        if (!next.listen().equals(config.listen()) || nbd.isPresent() != blockClients.isPresent()
+                || next.budget().memoryMb() != config.budget().memoryMb()) {
+            LOG.log(System.Logger.Level.WARNING, "listeners and the heap change with a restart only");
+        }
+        config = next;
+    }
+
     public InetSocketAddress address() {
         return clients.address();
     }
--- a/src/main/java/cypressglade/config/Config.java
+++ b/src/main/java/cypressglade/config/Config.java
@@ -14,10 +14,16 @@
 
 /** What a scheduler is told at its start, out of config.json. */
 public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, NodeList known,
-        Settings settings, Duration connectTimeout, Duration idleLimit, NodeListParser nodeLists) {
+        Settings settings, Duration connectTimeout, Duration idleLimit, NodeListParser nodeLists,
+        Budget budget) {
     private static final String SETTINGS = "settings.";
     private static final Duration DEFAULT_CONNECT = Duration.ofMillis(250);
     private static final Duration DEFAULT_IDLE = Duration.ofSeconds(30);
+    private static final int DEFAULT_MEMORY = 192;
+    private static final int DEFAULT_SOCKETS = 1024;
+    private static final int LEAST_MEMORY = 32;
+    private static final int LEAST_SOCKETS = 128;
+    private static final int MOST = 1 << 20;
 
     public static Config read(Path path) throws ConfigException {
         return parse(path.toString(), bytes(path));
@@ -25,7 +31,8 @@
 
     /** The same, listening elsewhere. */
     public Config on(InetSocketAddress other) {
-        return new Config(name, other, discovery, known, settings, connectTimeout, idleLimit, nodeLists);
+        return new Config(name, other, discovery, known, settings, connectTimeout, idleLimit, nodeLists,
+                budget);
     }
 
     static byte[] bytes(Path path) throws ConfigException {
@@ -65,7 +72,13 @@
         return new Config(values.text("name"), values.address("listen"), values.address("discovery"),
                 lists.parse(values, "known."), parsed,
                 span(values, "settings.limits.connectTimeoutUs", DEFAULT_CONNECT),
-                span(values, "settings.limits.connIdleUs", DEFAULT_IDLE), lists);
+                span(values, "settings.limits.connIdleUs", DEFAULT_IDLE), lists,
+                new Budget(limit(values, "limits.memory_mb", LEAST_MEMORY, DEFAULT_MEMORY),
+                        limit(values, "limits.sockets", LEAST_SOCKETS, DEFAULT_SOCKETS)));
+    }
+
+    private static int limit(Values values, String path, int least, int otherwise) throws ConfigException {
+        return values.text(path, "").isEmpty() ? otherwise : (int) values.whole(path, least, MOST);
     }
 
     private static Duration span(Values values, String path, Duration otherwise) throws ConfigException {
--- a/src/main/java/cypressglade/core/Brain.java
+++ b/src/main/java/cypressglade/core/Brain.java
@@ -74,8 +74,8 @@
     private static final long TICK = 1;
     private static final long WATCH = 2;
 
-    private final Settings settings;
-    private final Limits limits;
+    private Settings settings;
+    private Limits limits;
     private final Actions actions;
     private final SplittableRandom random;
     private final Map<Long, Node> nodes = new LinkedHashMap<>();
@@ -87,10 +87,9 @@
     private final ArrayDeque<Long> taken = new ArrayDeque<>();
     private final ArrayDeque<Long> further = new ArrayDeque<>();
     private final LinkedHashMap<Long, Held> turnedAway = new LinkedHashMap<>();
-    private final long tightestAim;
-    private final int leastOut;
-    private final double leastWorth, mostWorth, topWorth;
-    private final int queueAt;
+    private long tightestAim;
+    private int leastOut, queueAt;
+    private double leastWorth, mostWorth, topWorth;
     private final long bornAt;
     private double averagePace = START_PACE_US, averageStrain = START_STRAIN, averageBacklog;
     private double meanExcess, asked; // units beyond the reserves of a volume, and all that was asked for
@@ -99,14 +98,22 @@
     private boolean ticking;
 
     public Brain(long nowUs, Settings settings, Actions actions) {
-        this.settings = settings;
-        this.limits = settings.limits();
         this.actions = actions;
         this.random = new SplittableRandom(settings.seed());
         this.bornAt = nowUs;
-        this.queueAt = settings.loadNames().indexOf("waiting");
         this.askedAt = nowUs;
         this.asked = settings.mostUnits(); // until it is known, much is taken to be asked for
+        use(settings);
+        if (settings.listOnRequest()) {
+            actions.watch(true);
+        }
+    }
+
+    @Override
+    public void use(Settings next) {
+        settings = next;
+        limits = next.limits();
+        queueAt = next.loadNames().indexOf("waiting");
         List<RequestClass> classes = settings.classes();
         tightestAim = classes.stream().mapToLong(RequestClass::aimUs).min().orElse(1);
         leastWorth = classes.stream().mapToDouble(RequestClass::worth).min().orElse(0);
@@ -114,9 +121,6 @@
         double dearest = settings.plans().stream().mapToDouble(Plan::worthFactor).max().orElse(1);
         topWorth = Math.max(mostWorth * dearest, Double.MIN_NORMAL);
         leastOut = (int) Math.max(1, Math.round(LEAST_OUT / settings.heads()));
-        if (settings.listOnRequest()) {
-            actions.watch(true);
-        }
     }
 
     // ---- events
@@ -155,6 +159,7 @@
         }
         held.volume = volumes.computeIfAbsent(request.volume(), id -> new Volume(now, held));
         held.volume.heads = Math.max(1, request.heads());
+        held.volume.plan = settings.plans().get(request.plan());
         held.type = settings.classes().get(request.requestClass());
         held.background = held.type.effect() == Effect.SAFE && !held.type.write() && leastWorth < mostWorth
                 && held.type.worth() <= leastWorth && held.type.aimUs() >= BACKGROUND_AIM * tightestAim;
@@ -840,7 +845,7 @@
 
     /** A volume as this head sees it: its part of the reserve and of the limit, and what it asks beyond. */
     private final class Volume {
-        private final Plan plan;
+        private Plan plan;
         private int heads = 1;
         private long refilledAt, askedAt;
         private double reserve, limit, pending, excess, servedHere, servedEverywhere = -1;
--- a/src/main/java/cypressglade/core/Engine.java
+++ b/src/main/java/cypressglade/core/Engine.java
@@ -67,6 +67,11 @@
         thread.start();
     }
 
+    /** Takes new settings; what is open goes on under what it was taken with. */
+    public void use(Settings settings) {
+        post(() -> scheduler.use(settings));
+    }
+
     /** Takes in what discovery told; it counts for the links at once. */
     public void told(NodeList list) {
         var entries = directory.update(list);
--- a/src/main/java/cypressglade/core/RequestPool.java
+++ b/src/main/java/cypressglade/core/RequestPool.java
@@ -35,6 +35,11 @@
         }
     }
 
+    /** Takes a new bound; what runs goes on. */
+    public void use(int most) {
+        pool.setMaximumPoolSize(most);
+    }
+
     /** How many requests are open. */
     public int open() {
         return pool.getActiveCount();
--- a/src/main/java/cypressglade/core/Scheduler.java
+++ b/src/main/java/cypressglade/core/Scheduler.java
@@ -8,6 +8,9 @@
  */
 public interface Scheduler {
 
+    /** Settings that hold from now on; classes and plans are told by their place in the latest ones. */
+    void use(Settings settings);
+
     /** The node list, or a change to it. */
     void nodes(long nowUs, ListKind kind, List<NodeEntry> entries);
 
--- a/src/main/java/cypressglade/http/ClientListener.java
+++ b/src/main/java/cypressglade/http/ClientListener.java
@@ -1,5 +1,6 @@
 package cypressglade.http;
 
+import cypressglade.config.Budget;
 import cypressglade.core.Caller;
 import cypressglade.core.Counters;
 import cypressglade.core.Counters.Name;
@@ -12,15 +13,16 @@
 import cypressglade.core.Time;
 import cypressglade.net.Loop;
 import io.undertow.Handlers;
-import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
 import io.undertow.connector.PooledByteBuffer;
 import io.undertow.io.Receiver;
+import io.undertow.server.DefaultByteBufferPool;
 import io.undertow.server.HttpServerExchange;
-import io.undertow.server.ServerConnection;
+import io.undertow.server.protocol.http.HttpOpenListener;
 import io.undertow.server.protocol.http.HttpServerConnection;
 import io.undertow.util.Headers;
 import io.undertow.util.SameThreadExecutor;
+import io.undertow.util.StatusCodes;
 import java.io.IOException;
 import java.math.BigDecimal;
 import java.net.InetSocketAddress;
@@ -28,101 +30,179 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.BooleanSupplier;
 import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.StreamConnection;
 import org.xnio.XnioExecutor;
 import org.xnio.conduits.ConduitStreamSourceChannel;
 
-/** Where clients connect. All of it runs on the I/O thread but the request's own task. */
+/**
+ * Where clients connect. All of it runs on the I/O thread but the request's own task. A connection with
+ * nothing open has a short time only, whatever it sends or does not send: those that say nothing, or never
+ * end what they say, must not keep the others out.
+ */
 public final class ClientListener implements AutoCloseable {
+    private static final System.Logger LOG = System.getLogger(ClientListener.class.getName());
     private static final int MOST_BODY = 64 * 1024;
-    private static final int MOST_RECEIVING = 4 << 20;
-    private static final Duration PARSE_LIMIT = Duration.ofSeconds(10);
     private static final int MOST_HEAD = 16 * 1024;
-    private static final int BUFFER = 16 * 1024;
-    private static final int BACKLOG = 512;
+    private static final int BUFFER = 4 * 1024;
+    /** A connection with no open request may be closed after 2 s; one of no client must be within 3 s. */
+    private static final Duration PATIENCE = Duration.ofMillis(2200);
+    private static final Duration RECEIVE_LIMIT = Duration.ofSeconds(2);
+    private static final Duration SWEEP = Duration.ofMillis(200);
+    /** From the last look at a connection to its close, so that what has come by then is still read. */
+    private static final Duration LAST_LOOK = Duration.ofMillis(2);
+    /** From an answer to a request that is not read to the close, which may overtake the answer. */
+    private static final Duration LINGER = Duration.ofMillis(100);
+    /** Accepted beyond the bound, while those that make way for them close. */
+    private static final int CROSSING = 8;
 
     private final Loop loop;
-    private final Undertow server;
-    private final RequestParser parser;
+    private final Loop.Listening listening;
+    private final HttpOpenListener http;
     private final Engine engine;
     private final Counters counters;
     private final RequestPool pool;
     private final NodeLink<HttpWork> link;
     private final BooleanSupplier ready;
-    private final Map<ServerConnection, State> clients = new HashMap<>();
+    private final Map<StreamConnection, Client> clients = new HashMap<>();
+    private final TraceIds ids = new TraceIds();
+    private RequestParser parser;
+    private Budget budget;
     private int receiving;
-    private final int mostKept;
     private volatile boolean leaving;
 
-    /** A client connection: whether a request is on it, and what room its body takes while it comes. */
-    private static final class State {
-        private boolean busy;
+    /** A client connection: since when nothing is open on it, and what room its body takes while it comes. */
+    private static final class Client {
+        private final StreamConnection connection;
+        private Instant since = Time.now();
+        private boolean open;
+        private boolean answered;
         private int receiving;
+
+        private Client(StreamConnection connection) {
+            this.connection = connection;
+        }
     }
 
     public ClientListener(Loop loop, InetSocketAddress address, Settings settings, Engine engine,
             Counters counters, RequestPool pool, NodeLink<HttpWork> link, BooleanSupplier ready,
-            int mostConnections) {
+            Budget budget) throws IOException {
         this.loop = loop;
-        this.parser = new RequestParser(settings);
         this.engine = engine;
         this.counters = counters;
         this.pool = pool;
         this.link = link;
         this.ready = ready;
-        this.mostKept = mostConnections - mostConnections / 8;
-        this.server = Undertow.builder().setWorker(loop.worker()).setBufferSize(BUFFER).setDirectBuffers(true)
-                .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
-                .setServerOption(UndertowOptions.MAX_HEADER_SIZE, MOST_HEAD)
-                .setServerOption(UndertowOptions.DECODE_URL, false)
-                .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, (int) PARSE_LIMIT.toMillis())
-                .setSocketOption(org.xnio.Options.BACKLOG, BACKLOG)
-                .setSocketOption(org.xnio.Options.TCP_NODELAY, true)
-                .setSocketOption(org.xnio.Options.CONNECTION_HIGH_WATER, mostConnections)
-                .setSocketOption(org.xnio.Options.CONNECTION_LOW_WATER, mostConnections)
-                .addHttpListener(address.getPort(), address.getAddress().getHostAddress(),
-                        Handlers.httpContinueRead(this::handle))
-                .build();
+        this.parser = new RequestParser(settings);
+        this.budget = budget;
+        http = new HttpOpenListener(new DefaultByteBufferPool(true, BUFFER, -1, 0), OptionMap.builder()
+                .set(UndertowOptions.ALWAYS_SET_DATE, false)
+                .set(UndertowOptions.MAX_HEADER_SIZE, MOST_HEAD)
+                .set(UndertowOptions.DECODE_URL, false).getMap());
+        http.setRootHandler(Handlers.httpContinueRead(this::handle));
+        listening = loop.bind(address, this::accept);
+        listening.bound(budget.clientConnections() + CROSSING);
     }
 
     public void start() {
-        server.start();
+        listening.channel().resumeAccepts();
+        loop.execute(this::sweep);
+    }
+
+    /** Takes new settings and a new budget; requests that are open go on. */
+    public void use(Settings settings, Budget next) {
+        loop.execute(() -> {
+            parser = new RequestParser(settings);
+            budget = next;
+            try {
+                listening.bound(next.clientConnections() + CROSSING);
+            } catch (IOException closed) {
+                LOG.log(System.Logger.Level.WARNING, "the bound on clients stays", closed);
+            }
+        });
     }
 
     public InetSocketAddress address() {
-        return (InetSocketAddress) server.getListenerInfo().get(0).getAddress();
+        return listening.address();
     }
 
     /** From now on each answer ends its connection, and idle ones are closed. */
     public void leave() {
         leaving = true;
-        loop.execute(() -> {
-            List.copyOf(clients.keySet()).stream().filter(connection -> !clients.get(connection).busy)
-                    .forEach(IoUtils::safeClose);
-        });
+        loop.execute(() -> clients.values().stream().filter(client -> !client.open && client.answered)
+                .forEach(this::closeUnlessAsked));
     }
 
     @Override
     public void close() {
-        server.stop();
+        listening.close();
+        http.closeConnections();
+    }
+
+    private void accept(StreamConnection connection) {
+        clients.put(connection, new Client(connection));
+        if (clients.size() > budget.clientConnections()) {
+            forgetClosed();
+        }
+        if (clients.size() > budget.clientConnections()) { // whoever has waited longest makes way
+            clients.values().stream().filter(client -> !client.open)
+                    .min(Comparator.comparing(client -> client.since)).ifPresent(this::close);
+        }
+        http.handleEvent(connection);
+    }
+
+    private void sweep() {
+        forgetClosed();
+        ids.sweep();
+        Instant oldest = Time.now().minus(PATIENCE);
+        clients.values().stream().filter(client -> !client.open && client.since.isBefore(oldest))
+                .forEach(this::closeUnlessAsked);
+        loop.after(SWEEP, this::sweep);
+    }
+
+    /** Closes a connection unless its next request is here already. */
+    private void closeUnlessAsked(Client client) {
+        Instant since = client.since;
+        loop.after(LAST_LOOK, () -> {
+            if (!client.open && client.since.equals(since)) {
+                close(client);
+            }
+        });
+    }
+
+    private void close(Client client) {
+        IoUtils.safeClose(client.connection);
+        left(client);
+    }
+
+    private void forgetClosed() {
+        List.copyOf(clients.values()).stream().filter(client -> !client.connection.isOpen())
+                .forEach(this::left);
+    }
+
+    /** The one place where what a connection holds here is given back. */
+    private void left(Client client) {
+        received(client);
+        clients.remove(client.connection);
+    }
+
+    private Client client(HttpServerExchange exchange) {
+        StreamConnection connection = ((HttpServerConnection) exchange.getConnection()).getChannel();
+        return clients.computeIfAbsent(connection, Client::new);
     }
 
     private void handle(HttpServerExchange exchange) {
         Instant arrived = Time.now();
-        ServerConnection connection = exchange.getConnection();
-        State state = clients.computeIfAbsent(connection, first -> {
-            first.addCloseListener(closed -> loop.execute(() -> received(clients.remove(closed))));
-            return new State();
-        });
-        state.busy = true;
-        exchange.addExchangeCompleteListener((done, next) -> {
-            state.busy = false;
-            next.proceed();
-        });
+        Client client = client(exchange);
+        if (client.answered) { // the time of the first request is counted from the connect
+            client.since = arrived;
+        }
         exchange.dispatch(SameThreadExecutor.INSTANCE, () -> route(exchange, arrived));
     }
 
@@ -142,12 +222,15 @@
             if (exchange.getRequestContentLength() > MOST_BODY) {
                 throw new RequestParser.Rejected(413, "the body is over 64 KiB");
             }
+            if (!ids.take(exchange.getRequestHeaders().getFirst(RequestParser.TRACE_ID), request.expiry())) {
+                throw new RequestParser.Rejected(409, "X-Trace-Id is another request's");
+            }
         } catch (RequestParser.Rejected rejected) {
             reject(exchange, rejected.status(), rejected.getMessage());
             return;
         }
         Receipt receipt = new Receipt(exchange, request.expiry());
-        if (receiving > MOST_RECEIVING) {
+        if (receiving > budget.receivingBytes()) {
             receipt.turnAway();
             return;
         }
@@ -176,18 +259,20 @@
      */
     private final class Receipt {
         private final HttpServerExchange exchange;
-        private final State state;
+        private final Client client;
         private final XnioExecutor.Key limit;
         private boolean over;
 
         Receipt(HttpServerExchange exchange, Instant until) {
             this.exchange = exchange;
-            state = clients.get(exchange.getConnection());
+            client = client(exchange);
             boolean whole = exchange.isRequestComplete();
             long told = exchange.getRequestContentLength();
-            state.receiving = 2 * (int) (whole ? 0 : told >= 0 ? told : MOST_BODY);
-            receiving += state.receiving;
-            limit = whole ? () -> true : loop.after(Time.until(until), this::turnAway);
+            client.receiving = 2 * (int) (whole ? 0 : told >= 0 ? told : MOST_BODY);
+            receiving += client.receiving;
+            Instant most = client.since.plus(RECEIVE_LIMIT);
+            limit = whole ? () -> true
+                    : loop.after(Time.until(most.isBefore(until) ? most : until), this::turnAway);
         }
 
         /** Ends it; false where it has ended before. */
@@ -197,14 +282,13 @@
             }
             over = true;
             limit.remove();
-            received(state);
+            received(client);
             return true;
         }
 
         void turnAway() {
             if (end()) {
                 counters.add(Name.REFUSED_NO_ROOM);
-                exchange.setPersistent(false);
                 answer(exchange, 503, new byte[0]);
             }
         }
@@ -215,12 +299,13 @@
                 : exchange.getRequestURI() + "?" + exchange.getQueryString();
         HttpWork work = new HttpWork(exchange.getRequestMethod().toString(), target,
                 exchange.getRequestHeaders().getFirst(RequestParser.TRACE_ID), body);
-        Client client = new Client(exchange);
-        RequestLife<HttpWork> life = new RequestLife<>(engine, counters, request, work, client, link);
+        Answer answer = new Answer(exchange);
+        RequestLife<HttpWork> life = new RequestLife<>(engine, counters, request, work, answer, link);
         if (pool.start(life)) {
+            client(exchange).open = true;
             watchForEnd(exchange, life);
         } else {
-            client.refused(Duration.ZERO);
+            answer.refused(Duration.ZERO);
         }
     }
 
@@ -254,9 +339,9 @@
     }
 
     /** The one place where the room of a body is given back. */
-    private void received(State state) {
-        receiving -= state.receiving;
-        state.receiving = 0;
+    private void received(Client client) {
+        receiving -= client.receiving;
+        client.receiving = 0;
     }
 
     private void reject(HttpServerExchange exchange, int status, String why) {
@@ -266,19 +351,44 @@
     }
 
     private void answer(HttpServerExchange exchange, int status, byte[] body) {
+        Client client = client(exchange);
+        client.open = false;
+        client.since = Time.now();
+        client.answered = true;
+        if (!exchange.isRequestComplete()) {
+            answerUnread((HttpServerConnection) exchange.getConnection(), client, status);
+            return;
+        }
         exchange.setStatusCode(status);
-        if (leaving || clients.size() > mostKept) { // idle ones must not keep new clients out
+        if (leaving) {
             exchange.setPersistent(false);
         }
         exchange.getResponseHeaders().put(Headers.CONTENT_LENGTH, Integer.toString(body.length));
         exchange.getResponseSender().send(ByteBuffer.wrap(body));
     }
 
-    /** The client of one exchange. */
-    private final class Client implements Caller {
+    /**
+     * Answers a request whose body is not all read, and ends its connection. Guards against reading 60 MB, or
+     * waiting for what never comes, before the answer can be whole.
+     */
+    private void answerUnread(HttpServerConnection connection, Client client, int status) {
+        connection.getOriginalSourceConduit().suspendReads();
+        try {
+            connection.getOriginalSinkConduit().write(ByteBuffer.wrap(("HTTP/1.1 " + status + " "
+                    + StatusCodes.getReason(status) + "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+                    .getBytes(StandardCharsets.US_ASCII)));
+            connection.getOriginalSinkConduit().terminateWrites();
+        } catch (IOException gone) {
+            close(client);
+        }
+        loop.after(LINGER, () -> close(client));
+    }
+
+    /** The answer to one exchange. */
+    private final class Answer implements Caller {
         private final HttpServerExchange exchange;
 
-        Client(HttpServerExchange exchange) {
+        Answer(HttpServerExchange exchange) {
             this.exchange = exchange;
         }
 
--- a/src/main/java/cypressglade/http/DiscoveryWatch.java
+++ b/src/main/java/cypressglade/http/DiscoveryWatch.java
@@ -26,13 +26,14 @@
     private static final System.Logger LOG = System.getLogger(DiscoveryWatch.class.getName());
 
     private final Loop loop;
-    private final InetSocketAddress address;
-    private final NodeListParser lists;
+    private InetSocketAddress address;
+    private NodeListParser lists;
     private final NodeDirectory directory;
     private final Engine engine;
     private final Counters counters;
     private Watch current;
     private String told = "";
+    private boolean fromTheStart;
 
     public DiscoveryWatch(Loop loop, InetSocketAddress address, NodeListParser lists, NodeDirectory directory,
             Engine engine, Counters counters) {
@@ -51,7 +52,29 @@
         });
     }
 
+    /**
+     * Takes a new address at once: the old one ends its watches soon, and what the new one has counts as
+     * told.
+     * Versions of another source need not go on from ours, so its list is asked for whole.
+     */
+    public void use(InetSocketAddress next, NodeListParser nextLists) {
+        loop.execute(() -> {
+            lists = nextLists;
+            if (!next.equals(address)) {
+                address = next;
+                fromTheStart = true;
+                if (current != null) {
+                    current.drop();
+                }
+                open();
+            }
+        });
+    }
+
     private void open() {
+        if (current != null) { // a watch on a new address came first
+            return;
+        }
         Watch watch = new Watch();
         current = watch;
         loop.dial(address, watch::connected, () -> watch.broken("no connection"));
@@ -79,7 +102,8 @@
             }
             wire = up;
             wire.listen(this);
-            wire.send(ResponseParser.ascii("GET /v1/servers?stream=1&index=" + directory.version()
+            wire.send(ResponseParser.ascii("GET /v1/servers?stream=1&index="
+                    + (fromTheStart ? 0 : directory.version())
                     + " HTTP/1.1\r\nHost: discovery\r\n\r\n"));
         }
 
@@ -117,18 +141,23 @@
             } else if (!new String(text, StandardCharsets.ISO_8859_1).isBlank()) {
                 try {
                     engine.told(lists.parse(text, 0, text.length));
+                    fromTheStart = false;
                 } catch (ConfigException bad) {
                     fault = bad.getMessage();
                 }
             }
         }
 
+        private void drop() {
+            current = null;
+            if (wire != null) {
+                wire.close();
+            }
+        }
+
         private void broken(String why) {
             if (current == this) {
-                current = null;
-                if (wire != null) {
-                    wire.close();
-                }
+                drop();
                 counters.add(Counters.Name.WATCH_BROKEN);
                 if (!why.equals(told)) { // an outage is told once, however often it is tried again
                     told = why;
--- a/src/main/java/cypressglade/http/RequestParser.java
+++ b/src/main/java/cypressglade/http/RequestParser.java
@@ -1,10 +1,13 @@
 package cypressglade.http;
 
 import cypressglade.core.IoRequest;
+import cypressglade.core.Micros;
 import cypressglade.core.Scheduler.Plan;
 import cypressglade.core.Scheduler.RequestClass;
 import cypressglade.core.Scheduler.Settings;
 import io.undertow.util.HeaderMap;
+import io.undertow.util.HeaderValues;
+import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
 import java.time.Duration;
 import java.time.Instant;
@@ -23,6 +26,8 @@
     private static final Pattern PATH = Pattern.compile("/([^/]+)/([^/]+)/([^/]+)");
     private static final Pattern HEX = Pattern.compile("[0-9a-fA-F]{16}");
     private static final Pattern INFO = Pattern.compile("(units|shard|hosts)=(-?[0-9.]{1,12})");
+    private static final Pattern LENGTH = Pattern.compile("[0-9]{1,18}");
+    private static final Pattern NAME = Pattern.compile("[-!#$%&'*+.^_`|~0-9A-Za-z]+");
     private static final Pattern TOKEN = Pattern.compile("[!-~]{1,128}");
     /** Kept back of the client's time, so that the answer's last byte comes before it runs out. */
     private static final Duration MARGIN = Duration.ofMillis(30);
@@ -30,6 +35,7 @@
 
     private final Map<String, Integer> classes = new HashMap<>();
     private final Map<String, Integer> plans = new HashMap<>();
+    private final long longestMs;
 
     /** A request that is not passed on, and the status that says why. */
     static final class Rejected extends Exception {
@@ -50,6 +56,8 @@
         for (RequestClass type : settings.classes()) {
             classes.put(type.name(), classes.size());
         }
+        longestMs = settings.classes().stream().map(RequestClass::deadlineUs).map(Micros::span)
+                .mapToLong(Duration::toMillis).max().orElse(MOST_MS);
         for (Plan plan : settings.plans()) {
             plans.put(plan.name(), plans.size());
         }
@@ -70,14 +78,35 @@
         if (!TOKEN.matcher(header(headers, TRACE_ID)).matches()) {
             throw new Rejected(400, "X-Trace-Id is not usable");
         }
+        framing(method, headers);
         Map<String, Float> info = info(header(headers, IO_INFO));
-        long left = whole(header(headers, EXPIRES));
+        // No client holds a request open for longer than any class lets it.
+        long left = Math.min(longestMs, whole(header(headers, EXPIRES)));
         return new IoRequest(info.get("shard").intValue(), classes.get(parts.group(1)), plan,
                 info.get("hosts").intValue(), "1".equals(headers.getFirst(SECOND_TRY)), method.equals("PUT"),
                 hex(parts.group(2)), hex(parts.group(3)), info.get("units"),
                 arrived.plusMillis(left).minus(MARGIN));
     }
 
+    /** Where a body ends must be plain: a request that can be read in two ways may hide another. */
+    private static void framing(String method, HeaderMap headers) throws Rejected {
+        boolean chunked = headers.contains(Headers.TRANSFER_ENCODING);
+        boolean told = headers.contains(Headers.CONTENT_LENGTH);
+        if (chunked && (told || !"chunked".equalsIgnoreCase(header(headers, Headers.TRANSFER_ENCODING)))
+                || told && !LENGTH.matcher(header(headers, Headers.CONTENT_LENGTH)).matches()) {
+            throw new Rejected(400, "the body's end is not plain");
+        }
+        if (method.equals("GET")
+                && (chunked || told && !"0".equals(headers.getFirst(Headers.CONTENT_LENGTH)))) {
+            throw new Rejected(400, "a GET with a body");
+        }
+        for (HeaderValues header : headers) {
+            if (!NAME.matcher(header.getHeaderName().toString()).matches()) {
+                throw new Rejected(400, "a header has no usable name");
+            }
+        }
+    }
+
     private static String header(HeaderMap headers, HttpString name) throws Rejected {
         if (headers.count(name) != 1) {
             throw new Rejected(400, name + " is missing or there twice");
--- a/src/main/java/cypressglade/nbd/NbdListener.java
+++ b/src/main/java/cypressglade/nbd/NbdListener.java
@@ -25,8 +25,8 @@
     private static final Duration HANDSHAKE_LIMIT = Duration.ofSeconds(10);
 
     private final Loop loop;
-    private final NbdConfig config;
-    private final Settings settings;
+    private volatile NbdConfig config;
+    private volatile Settings settings;
     private final Engine engine;
     private final NodeDirectory directory;
     private final Counters counters;
@@ -47,7 +47,13 @@
         this.counters = counters;
         this.pool = pool;
         this.link = link;
-        listening = loop.listen(config.listen(), wire -> loop.execute(() -> accept(wire)));
+        listening = loop.listen(config.listen(), this::accept);
+    }
+
+    /** Takes a new configuration and the settings that it names: the next command goes by them. */
+    public void use(NbdConfig next, Settings nextSettings) {
+        config = next;
+        settings = nextSettings;
     }
 
     public InetSocketAddress address() {
--- a/src/main/java/cypressglade/nbd/NbdNodeLink.java
+++ b/src/main/java/cypressglade/nbd/NbdNodeLink.java
@@ -20,7 +20,7 @@
     private static final String PROBE = "/probe";
 
     private final NodePool pool;
-    private final NbdConfig config;
+    private volatile NbdConfig config;
     private long lastCookie;
 
     public NbdNodeLink(NodePool pool, NbdConfig config) {
@@ -28,6 +28,11 @@
         this.config = config;
     }
 
+    /** Takes a new configuration: the next command goes by it. */
+    public void use(NbdConfig next) {
+        config = next;
+    }
+
     /** Whether a node is one of this front's. */
     public boolean speaksTo(Optional<NodeDirectory.Known> node) {
         return node.isPresent() && config.nodes().containsKey(node.get().id());
--- a/src/main/java/cypressglade/net/Loop.java
+++ b/src/main/java/cypressglade/net/Loop.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.time.Duration;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.xnio.ChannelListeners;
@@ -44,7 +45,11 @@
     }
 
     public XnioExecutor.Key after(Duration delay, Runnable task) {
-        return io.executeAfter(task, Math.max(1, delay.toMillis()), TimeUnit.MILLISECONDS);
+        try {
+            return io.executeAfter(task, Math.max(1, delay.toMillis()), TimeUnit.MILLISECONDS);
+        } catch (RejectedExecutionException closing) {
+            return () -> false; // the program stops, and nothing is due any more
+        }
     }
 
     /** Connects; either {@code up} or {@code down} is called, once, on this thread. */
@@ -71,12 +76,17 @@
 
     /** Listens; each connection is handed over on this thread. */
     public Listening listen(InetSocketAddress address, Consumer<Wire> accepted) throws IOException {
-        AcceptingChannel<StreamConnection> channel = worker.createStreamConnectionServer(address,
-                ChannelListeners.openListenerAdapter(up -> accepted.accept(new Wire(this, up))),
+        Listening listening = bind(address, up -> accepted.accept(new Wire(this, up)));
+        listening.channel().resumeAccepts();
+        return listening;
+    }
+
+    /** Binds a listener that hands over each connection on this thread, once it is told to accept. */
+    public Listening bind(InetSocketAddress address, Consumer<StreamConnection> accepted) throws IOException {
+        return new Listening(worker.createStreamConnectionServer(address,
+                ChannelListeners.openListenerAdapter(up -> execute(() -> accepted.accept(up))),
                 OptionMap.builder().addAll(TCP).set(Options.REUSE_ADDRESSES, true)
-                        .set(Options.BACKLOG, BACKLOG).getMap());
-        channel.resumeAccepts();
-        return new Listening(channel);
+                        .set(Options.BACKLOG, BACKLOG).getMap()));
     }
 
     @Override
@@ -91,6 +101,13 @@
 
     /** An open listener. */
     public record Listening(AcceptingChannel<StreamConnection> channel) implements AutoCloseable {
+        /** Accepts no more than so many at a time; whoever comes beyond that waits in the backlog. */
+        public void bound(int most) throws IOException {
+            channel.setOption(Options.CONNECTION_LOW_WATER, 0);
+            channel.setOption(Options.CONNECTION_HIGH_WATER, most);
+            channel.setOption(Options.CONNECTION_LOW_WATER, most);
+        }
+
         public InetSocketAddress address() {
             return channel.getLocalAddress(InetSocketAddress.class);
         }
--- a/src/main/java/cypressglade/net/NodePool.java
+++ b/src/main/java/cypressglade/net/NodePool.java
@@ -35,9 +35,9 @@
     private final Loop loop;
     private final NodeDirectory directory;
     private final Counters counters;
-    private final Duration connectLimit;
-    private final Duration idleLimit;
-    private final int mostConnections;
+    private Duration connectLimit;
+    private Duration idleLimit;
+    private int mostConnections;
     private final Map<String, ArrayDeque<Idle>> idle = new HashMap<>();
     private int connections;
 
@@ -46,12 +46,19 @@
         this.loop = loop;
         this.directory = directory;
         this.counters = counters;
-        this.connectLimit = shorter(connectTimeout, MOST_CONNECT);
-        this.idleLimit = shorter(idleAtNode.dividedBy(2), MOST_IDLE);
-        this.mostConnections = mostConnections;
+        use(connectTimeout, idleAtNode, mostConnections);
         loop.after(SWEEP, this::sweep);
     }
 
+    /** Takes new limits; connections over them go as they become idle. */
+    public void use(Duration connectTimeout, Duration idleAtNode, int most) {
+        loop.execute(() -> {
+            connectLimit = shorter(connectTimeout, MOST_CONNECT);
+            idleLimit = shorter(idleAtNode.dividedBy(2), MOST_IDLE);
+            mostConnections = most;
+        });
+    }
+
     private static Duration shorter(Duration one, Duration other) {
         return one.compareTo(other) < 0 ? one : other;
     }
@@ -111,12 +118,13 @@
         loop.after(SWEEP, this::sweep);
     }
 
-    /** Makes room for one more connection, at the cost of the one that was idle longest. */
-    private void makeRoom() {
+    /** Makes room for a connection at the cost of the one that was idle longest; false where all work. */
+    private boolean makeRoom() {
         if (connections >= mostConnections) {
             idle.values().stream().map(ArrayDeque::peekFirst).filter(Objects::nonNull)
                     .min(Comparator.comparing(kept -> kept.since)).ifPresent(Idle::discard);
         }
+        return connections < mostConnections;
     }
 
     /** One request on a connection, from its start to its one end; each wire says how it is put. */
@@ -185,7 +193,10 @@
                 begin();
                 return;
             }
-            makeRoom();
+            if (!makeRoom()) { // guards the descriptors; it says nothing of the node
+                holdBack(Status.MOOT);
+                return;
+            }
             connections++;
             counters.add(Counters.Name.CONNECTIONS_OPENED);
             Duration left = Time.until(until);
--- a/src/test/java/cypressglade/cli/MainTest.java
+++ b/src/test/java/cypressglade/cli/MainTest.java
@@ -5,7 +5,10 @@
 import java.io.ByteArrayOutputStream;
 import java.io.InputStream;
 import java.io.PrintStream;
+import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.concurrent.TimeUnit;
+import cypressglade.standin.HttpPeer;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -50,6 +53,40 @@
         }
     }
 
+    /** Guards against SIGHUP ending the program, and against a broken file taking the place of a good one. */
+    @Test
+    void hangUpTakesTheNewDiscoveryAndKeepsTheOldFileWhereTheNewOneIsBroken() throws Exception {
+        HttpPeer.Script silent = (request, out) -> { };
+        Path file = Files.createTempFile("config", ".json");
+        try (HttpPeer one = new HttpPeer(silent); HttpPeer two = new HttpPeer(silent)) {
+            String text = Files.readString(Path.of("deploy/config.example.json"));
+            Files.writeString(file, text.replace("127.0.0.1:8500", one.hostPort()));
+            Process process = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                    "-cp", System.getProperty("java.class.path"), Main.class.getName(), "serve", "--config",
+                    file.toString()).redirectErrorStream(true).start();
+            try (var lines = process.inputReader()) {
+                assertThat(one.requests.poll(20, TimeUnit.SECONDS).first()).contains("index=41");
+                Files.writeString(file, "{");
+                hangUp(process);
+                assertThat(lines.lines().anyMatch(line -> line.contains("the old configuration stays"))).isTrue();
+                Files.writeString(file, text.replace("127.0.0.1:8500", two.hostPort()));
+                hangUp(process);
+                assertThat(two.requests.poll(20, TimeUnit.SECONDS).first()).contains("index=0");
+                process.toHandle().destroy();
+                assertThat(lines.lines()).contains("reloads 1", "reloads_rejected 1");
+                assertThat(process.waitFor()).isZero();
+            } finally {
+                process.destroyForcibly();
+            }
+        } finally {
+            Files.delete(file);
+        }
+    }
+
+    private static void hangUp(Process process) throws Exception {
+        assertThat(new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor()).isZero();
+    }
+
     @Test
     void configurationIsCheckedToTheStartOfEveryPart() {
         assertThat(run("check-config --start --config deploy/config.example.json")).isZero();
--- a/src/test/java/cypressglade/config/ConfigTest.java
+++ b/src/test/java/cypressglade/config/ConfigTest.java
@@ -56,6 +56,8 @@
             "categories" | "kategories" | settings
             "version":41 | "version":41.5 | known.version
             "name":"n1", | '' | name
+            "memory_mb":192 | "memory_mb":8 | limits.memory_mb
+            "sockets":1024 | "sockets":"many" | limits.sockets
             {"name" | ["name" | c.json
             "youngLimit":11}}} | "youngLimit":11}} | c.json
             """)
@@ -64,6 +66,18 @@
                 .hasMessageContaining("c.json").hasMessageContaining(path);
     }
 
+    /** Guards against sizes that hold on one day only: 256 descriptors were used up where 1,024 were taken for granted. */
+    @ParameterizedTest
+    @CsvSource({"192, 1024, 256", "128, 256, 170", "96, 384, 128"})
+    void budgetStaysWithinTheLimitsOfTheDay(int memory, int sockets, int requests) throws Exception {
+        Budget budget = config("\"memory_mb\":192,\"sockets\":1024",
+                "\"memory_mb\":" + memory + ",\"sockets\":" + sockets).budget();
+        assertThat(budget.requests()).isEqualTo(requests);
+        assertThat(budget.clientConnections() + budget.nodeConnections()).isBetween(sockets * 3 / 4, sockets - 50);
+        assertThat(budget.clientConnections()).isGreaterThan(sockets / 3);
+        assertThat(2 * 65536L * requests + budget.receivingBytes()).isLessThan(memory * 1024L * 1024 / 4);
+    }
+
     @Test
     void goneNodeNeedsNoAddress() throws Exception {
         byte[] text = "{\"version\":7,\"full\":false,\"servers\":[{\"id\":\"s-2\",\"state\":\"left\"}]}".getBytes(
