Read answers strictly, end spoilt ones as errors, and never reuse a connection that is not quiet

Checked: the parser took an answer without a length to the end of its connection, lengths of a 1xx head for the answer behind it, two lengths, and bodies of any size; an idle connection was taken again without a look at what had come on it since; what could not be read counted as a reset, which the module takes for a node that is down. At fault: ResponseParser.endOfHead/header/number, NodePool.takeIdle, Exchange.received (IOException -> RESET). Ruled out: the client side (no answer is written twice; each life answers once). Now: an end must be plain, the first wrong byte ends the attempt as an error that may have run, a rest that stays out for 200 ms too, and an idle connection is used only where nothing has come on it.

--- a/src/main/java/cypressglade/http/Body.java
+++ b/src/main/java/cypressglade/http/Body.java
@@ -3,27 +3,16 @@
 import java.nio.ByteBuffer;
 import java.util.Arrays;
 
-/** The body of an answer as it comes; made to its length at once where that is told, and bounded. */
+/** The body of an answer as it comes; made to its length at once where that is told. Its reader bounds it. */
 final class Body {
     private static final int FIRST = 4096;
 
-    private final int most;
     private byte[] bytes = {};
     private int size;
-    private boolean tooLong;
-
-    Body(int most) {
-        this.most = most;
-    }
 
     /** Takes a part of a body of the given length, or of -1 where none is told. */
     void add(ByteBuffer part, long told) {
         int wanted = size + part.remaining();
-        tooLong |= wanted > most || told > most;
-        if (tooLong) {
-            bytes = new byte[0];
-            return;
-        }
         if (wanted > bytes.length) {
             bytes = Arrays.copyOf(bytes, told >= wanted ? (int) told : Math.max(FIRST, 2 * wanted));
         }
@@ -31,10 +20,6 @@
         size = wanted;
     }
 
-    boolean tooLong() {
-        return tooLong;
-    }
-
     byte[] bytes() {
         return size == bytes.length ? bytes : Arrays.copyOf(bytes, size);
     }
--- a/src/main/java/cypressglade/http/DiscoveryWatch.java
+++ b/src/main/java/cypressglade/http/DiscoveryWatch.java
@@ -89,7 +89,7 @@
 
     /** One watch, on one connection. */
     private final class Watch implements Wire.Listener {
-        private final ResponseParser parser = new ResponseParser(this::take);
+        private final ResponseParser parser = new ResponseParser(this::take, Long.MAX_VALUE);
         private final ByteArrayOutputStream line = new ByteArrayOutputStream();
         private Wire wire;
         private Instant heard = Time.now();
--- a/src/main/java/cypressglade/http/NodeClient.java
+++ b/src/main/java/cypressglade/http/NodeClient.java
@@ -18,6 +18,8 @@
 /** The platform's storage nodes: HTTP/1.1. */
 public final class NodeClient implements NodeLink<HttpWork> {
     private static final int MOST_BODY = 64 * 1024;
+    /** An answer is written at once: where its rest stays out for so long, it never comes. */
+    private static final Duration MOST_SILENCE = Duration.ofMillis(200);
 
     private final NodePool pool;
 
@@ -38,8 +40,8 @@
 
     private final class HttpExchange extends NodePool.Exchange {
         private final Function<Duration, List<ByteBuffer>> message;
-        private final Body body = new Body(MOST_BODY);
-        private final ResponseParser parser = new ResponseParser(this::take);
+        private final Body body = new Body();
+        private final ResponseParser parser = new ResponseParser(this::take, MOST_BODY);
 
         HttpExchange(long node, Function<Duration, List<ByteBuffer>> message, Instant until,
                 Consumer<Ending> ended) {
@@ -67,6 +69,11 @@
             return parser.ended() ? Optional.of(status()) : Optional.empty();
         }
 
+        @Override
+        protected Optional<Duration> mostSilence() {
+            return Optional.of(MOST_SILENCE);
+        }
+
         @Override
         protected boolean reusable() {
             return parser.reusable();
@@ -81,7 +88,7 @@
             if (parser.neverRan() && (parser.status() == 503 || parser.status() == 504)) {
                 return Status.FULL;
             }
-            return parser.status() == 200 && !body.tooLong() ? Status.OK : Status.ERROR;
+            return parser.status() == 200 ? Status.OK : Status.ERROR;
         }
 
         private void take(ByteBuffer part) {
--- a/src/main/java/cypressglade/http/ResponseParser.java
+++ b/src/main/java/cypressglade/http/ResponseParser.java
@@ -6,26 +6,36 @@
 import java.util.Locale;
 import java.util.function.Consumer;
 
-/** Reads one HTTP/1.1 answer, split at any byte; hands on the body as it comes. */
+/**
+ * Reads one HTTP/1.1 answer, split at any byte; hands on the body as it comes. It takes nothing on trust:
+ * where an answer ends must be told plainly, and what cannot be read is found at its first wrong byte, since
+ * nothing more may ever come on its connection.
+ */
 final class ResponseParser {
     private static final int MOST_HEAD = 16 * 1024;
-    private static final int MOST_CHUNK = 1 << 24;
+    private static final int MOST_DIGITS = 15;
+    private static final String START = "HTTP/1.";
+    private static final String NAME_SIGNS = "!#$%&'*+-.^_`|~";
 
     private enum Part { STATUS, HEADERS, BODY, CHUNK_SIZE, CHUNK, CHUNK_END, TRAILERS, TO_END, DONE }
 
     private final Consumer<ByteBuffer> body;
+    private final long mostBody;
     private final StringBuilder line = new StringBuilder();
     private Part part = Part.STATUS;
     private int headBytes;
     private int status;
     private long left = -1;
     private long length = -1;
+    private long taken;
     private boolean chunked;
     private boolean close;
     private boolean neverRan;
 
-    ResponseParser(Consumer<ByteBuffer> body) {
+    /** A reader of an answer with a body of so many bytes at most. */
+    ResponseParser(Consumer<ByteBuffer> body, long mostBody) {
         this.body = body;
+        this.mostBody = mostBody;
     }
 
     /** Takes what has come; true once the answer is whole. Bytes after its end stay in the buffer. */
@@ -70,8 +80,9 @@
         return part == Part.DONE && !close;
     }
 
-    private void take(ByteBuffer in) {
+    private void take(ByteBuffer in) throws IOException {
         int length = part == Part.TO_END ? in.remaining() : (int) Math.min(left, in.remaining());
+        taken = bounded(taken + length);
         body.accept(in.slice(in.position(), length));
         in.position(in.position() + length);
         left -= length;
@@ -93,10 +104,24 @@
                 return text;
             }
             line.append(next);
+            if (!begins(next)) {
+                throw new IOException("the answer cannot be read");
+            }
         }
         return null;
     }
 
+    /** Whether a line may go on so far as it has come, by its last character. */
+    private boolean begins(char last) {
+        int at = line.length() - 1;
+        return switch (part) {
+            case STATUS -> at >= START.length() || START.charAt(at) == last;
+            case CHUNK_SIZE -> at > 0 || Character.digit(last, 16) >= 0;
+            case CHUNK_END -> at == 0 && last == '\r';
+            default -> true; // a header that nobody uses may say what it likes
+        };
+    }
+
     private void line(String text) throws IOException {
         switch (part) {
             case STATUS -> {
@@ -116,7 +141,8 @@
             }
             case CHUNK_SIZE -> {
                 headBytes = 0;
-                left = number(text.replaceFirst(";.*", "").trim(), 16, MOST_CHUNK);
+                left = number(text.replaceFirst(";.*", "").trim(), 16);
+                bounded(taken + left);
                 part = left == 0 ? Part.TRAILERS : Part.CHUNK;
             }
             case CHUNK_END -> {
@@ -132,47 +158,70 @@
 
     private void header(String text) throws IOException {
         int colon = text.indexOf(':');
-        if (colon <= 0) {
+        if (colon <= 0 || !text.chars().limit(colon).allMatch(ResponseParser::inName)) {
             throw new IOException("a header without a name");
         }
         String value = text.substring(colon + 1).trim();
         switch (text.substring(0, colon).toLowerCase(Locale.ROOT)) {
             case "content-length" -> {
-                left = number(value, 10, Integer.MAX_VALUE);
+                left = bounded(number(value, 10));
+                if (chunked || length >= 0 && length != left) {
+                    throw new IOException("the answer has two ends");
+                }
                 length = left;
             }
-            case "transfer-encoding" -> chunked = value.equalsIgnoreCase("chunked");
+            case "transfer-encoding" -> {
+                chunked = value.equalsIgnoreCase("chunked");
+                if (!chunked || length >= 0) {
+                    throw new IOException("the answer's end is not plain");
+                }
+            }
             case "connection" -> close |= value.equalsIgnoreCase("close");
             case "x-never-ran" -> neverRan = value.equals("1");
             default -> { }
         }
     }
 
-    private void endOfHead() {
-        if (status < 200) {
+    private void endOfHead() throws IOException {
+        if (status == 101) {
+            throw new IOException("nobody asked for another protocol");
+        }
+        if (status < 200) { // nothing that it said holds for the answer behind it
             part = Part.STATUS;
+            left = -1;
+            length = -1;
+            chunked = false;
+            neverRan = false;
         } else if (status == 204 || status == 304) {
             part = Part.DONE;
         } else if (chunked) {
             part = Part.CHUNK_SIZE;
         } else if (left >= 0) {
             part = left == 0 ? Part.DONE : Part.BODY;
-        } else {
-            close = true;
+        } else if (close) {
             part = Part.TO_END;
+        } else { // connections stay open, so this one would never end
+            throw new IOException("the answer has no end");
         }
     }
 
-    private static long number(String text, int radix, long most) throws IOException {
-        try {
-            long value = Long.parseLong(text, radix);
-            if (value >= 0 && value <= most && !text.startsWith("+")) {
-                return value;
-            }
-        } catch (NumberFormatException notANumber) {
-            // reported below
+    private static boolean inName(int sign) {
+        return sign < 128 && Character.isLetterOrDigit(sign) || NAME_SIGNS.indexOf(sign) >= 0;
+    }
+
+    private long bounded(long size) throws IOException {
+        if (size > mostBody) {
+            throw new IOException("the answer is too long");
+        }
+        return size;
+    }
+
+    private static long number(String text, int radix) throws IOException {
+        if (text.isEmpty() || text.length() > MOST_DIGITS
+                || !text.chars().allMatch(sign -> sign < 128 && Character.digit(sign, radix) >= 0)) {
+            throw new IOException("not a length: " + text);
         }
-        throw new IOException("not a length: " + text);
+        return Long.parseLong(text, radix);
     }
 
     static ByteBuffer ascii(String text) {
--- a/src/main/java/cypressglade/net/NodePool.java
+++ b/src/main/java/cypressglade/net/NodePool.java
@@ -29,6 +29,7 @@
     public static final Duration PROBE_LIMIT = Duration.ofMillis(250);
     private static final Duration MOST_IDLE = Duration.ofSeconds(12);
     private static final Duration SWEEP = Duration.ofSeconds(1);
+    private static final Duration LAST_LOOK = Duration.ofMillis(2);
     /** A send that its connection delays by more would count too late against a volume's limit. */
     private static final Duration MOST_CONNECT = Duration.ofMillis(150);
 
@@ -76,6 +77,7 @@
 
         @Override
         public void received(ByteBuffer in) {
+            counters.add(Counters.Name.STRAY_BYTES);
             discard();
         }
 
@@ -91,8 +93,18 @@
     }
 
     private Optional<Wire> takeIdle(String use) {
-        ArrayDeque<Idle> kept = idle.get(use);
-        return kept == null || kept.isEmpty() ? Optional.empty() : Optional.of(kept.pollLast().wire);
+        ArrayDeque<Idle> kept = idle.getOrDefault(use, new ArrayDeque<>());
+        while (!kept.isEmpty()) {
+            Wire wire = kept.pollLast().wire;
+            if (wire.quiet()) {
+                return Optional.of(wire);
+            }
+            // Guards against bytes behind an answer that are here but not heard of yet: they would be taken
+            // for the next answer.
+            counters.add(Counters.Name.STRAY_BYTES);
+            close(wire);
+        }
+        return Optional.empty();
     }
 
     private void keep(Wire wire, String use) {
@@ -137,6 +149,7 @@
         private Wire wire;
         private XnioExecutor.Key limit;
         private boolean begun;
+        private int heard;
         private boolean over;
 
         protected Exchange(long node, Instant until, Consumer<Ending> ended) {
@@ -164,6 +177,11 @@
         /** Takes what came; how the exchange ended once the answer is whole. */
         protected abstract Optional<Status> read(ByteBuffer in) throws IOException;
 
+        /** How long the rest of an answer may stay out once it has begun, where that is bounded. */
+        protected Optional<Duration> mostSilence() {
+            return Optional.empty();
+        }
+
         /** The connection ended; how the exchange ended if that makes its answer whole. */
         protected Optional<Status> readToEnd() {
             return Optional.empty();
@@ -246,10 +264,25 @@
             end(status);
         }
 
+        /**
+         * What cannot be read is a failed attempt that may have run. It tells that the node lives, so it is
+         * an error and not a reset; its connection is of no further use.
+         */
         @Override
-        public final void received(ByteBuffer in) throws IOException {
-            Optional<Status> whole = read(in);
-            if (whole.isPresent()) {
+        public final void received(ByteBuffer in) {
+            Optional<Status> whole;
+            heard++;
+            try {
+                whole = read(in);
+            } catch (IOException spoilt) {
+                spoilt();
+                return;
+            }
+            if (whole.isEmpty()) {
+                mostSilence().ifPresent(this::watchSilence);
+            } else if (whole.get() == Status.OK && wire.unsent() > 0) {
+                spoilt(); // no answer to a request that is not all written
+            } else {
                 if (!in.hasRemaining() && reusable() && wire.unsent() == 0) {
                     keep(wire, use);
                     wire = null;
@@ -258,6 +291,25 @@
             }
         }
 
+        private void spoilt() {
+            counters.add(Counters.Name.SPOILT);
+            end(written(Status.ERROR));
+        }
+
+        /** Guards against an answer that stops halfway on a connection that stays open. */
+        private void watchSilence(Duration most) {
+            int before = heard;
+            loop.after(most, () -> {
+                if (!over && heard == before) { // once more, for what came while this program had no time
+                    loop.after(LAST_LOOK, () -> {
+                        if (!over && heard == before) {
+                            spoilt();
+                        }
+                    });
+                }
+            });
+        }
+
         @Override
         public final void ended() {
             end(readToEnd().orElseGet(() -> written(Status.RESET)));
--- a/src/main/java/cypressglade/net/Wire.java
+++ b/src/main/java/cypressglade/net/Wire.java
@@ -67,6 +67,15 @@
         return unsent;
     }
 
+    /** Whether nothing came that was not heard of yet, be it bytes or the end. */
+    boolean quiet() {
+        try {
+            return !closed && connection.getSourceChannel().read(loop.input.clear()) == 0;
+        } catch (IOException broken) {
+            return false;
+        }
+    }
+
     /** Gives the connection back; nothing is heard of it after. */
     public void close() {
         closed = true;
--- a/src/test/java/cypressglade/http/ServeTest.java
+++ b/src/test/java/cypressglade/http/ServeTest.java
@@ -300,6 +300,43 @@
         }
     }
 
+    /** Guards against serving what a node did not make for the request, and against waiting for its rest. */
+    @ParameterizedTest
+    @ValueSource(strings = {"noise", "HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\nhalf",
+        "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n", "HTTP/1.1 200 OK\r\n\r\nno end"})
+    void spoiltAnswerIsAFailedAttemptAndItsConnectionIsLeft(String spoilt) throws Exception {
+        HttpPeer.Script good = answer(200, "", "good");
+        HttpPeer.Script bad = (request, out) -> {
+            HttpPeer.write(out, spoilt);
+            node.script(good);
+        };
+        node.script(bad);
+        String headers = Site.headers(900, "standard", "units=2,shard=0,hosts=1");
+        assertThat(site.ask(Site.request("PUT", WRITE, headers, "x")).status()).isEqualTo(502); // it may have run
+        assertThat(node.requests).hasSize(1);
+        node.script(bad);
+        assertThat(read().body()).isEqualTo("good"); // a read is asked again, elsewhere
+        assertThat(node.connections).hasValueGreaterThan(2);
+        assertThat(site.serve.counters().get(Name.SPOILT)).isEqualTo(2);
+    }
+
+    /** Guards against bytes behind an answer being taken for the next one, also where they come on their own. */
+    @Test
+    void whatFollowsAnAnswerIsNeverTheNextOnes() throws Exception {
+        String copy = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n";
+        CountDownLatch behind = new CountDownLatch(1);
+        node.script((request, out) -> {
+            HttpPeer.write(out, copy + "mine");
+            HttpPeer.write(out, copy + "copy");
+            behind.countDown();
+            node.script(answer(200, "", "next"));
+        });
+        assertThat(read().body()).isEqualTo("mine");
+        behind.await();
+        assertThat(read().body()).isEqualTo("next");
+        assertThat(node.connections).hasValue(2);
+    }
+
     /** Guards against a request hidden in another's body, and against lengths that can be read in two ways. */
     @ParameterizedTest
     @ValueSource(strings = {"Content-Length: 4\r\nTransfer-Encoding: chunked", "Transfer-Encoding: x, chunked",
