Serve on open connections after SIGTERM until shortly before the kill

Logs: each ended 0.95 s after SIGTERM, and its successor began 4.05 s after SIGTERM whether it ended at 0.95 s or at 3.5 s. Ruled out: the reloads (lists come at once after each, no watch broken), the module. At fault: Serve.drain closed idle connections after 0.45 s and ended as soon as nothing was open. Now requests are taken until 0.3 s before the earliest kill, each answered by then; idle connections stay.

--- a/src/main/java/cypressglade/cli/Serve.java
+++ b/src/main/java/cypressglade/cli/Serve.java
@@ -27,10 +27,11 @@
     private static final System.Logger LOG = System.getLogger(Serve.class.getName());
     private static final int STACK_BYTES = 160 * 1024;
 
-    /** New connections go on coming for up to 0.4 s after the signal to stop. */
-    private static final Duration ACCEPT_ON = Duration.ofMillis(450);
-    /** What comes within 0.7 s of the signal is still served. */
+    /** What comes within 0.7 s of the signal to stop is still owed an answer, on each front. */
     private static final Duration SERVE_ON = Duration.ofMillis(800);
+    /** The kill comes no sooner than the longest deadline, but at most so long, and a little more. */
+    private static final Duration MOST_COUNTED = Duration.ofSeconds(3);
+    private static final Duration BEFORE_THE_KILL = Duration.ofMillis(400);
     private static final Duration LOOK = Duration.ofMillis(10);
     private static final Duration SETTLE = Duration.ofMillis(50);
 
@@ -104,17 +105,24 @@
         return counters;
     }
 
-    /** Stops as a planned restart wants it: all that was taken is answered first. */
+    /**
+     * Stops as a planned restart wants it. Clients go on using the connections that they have, and whoever
+     * would come through a stopped scheduler is lost: so it serves for as long as it is sure not to be
+     * killed, and all that was taken is answered first.
+     */
     public void drain() throws InterruptedException {
         Instant told = Time.now();
         ready = false;
+        Duration longest = config.settings().classes().stream().map(RequestClass::deadlineUs)
+                .map(Micros::span).max(Duration::compareTo).orElse(Duration.ZERO);
+        Instant served = told.plus(longest.compareTo(MOST_COUNTED) < 0 ? longest : MOST_COUNTED)
+                .plus(BEFORE_THE_KILL);
         blockClients.ifPresent(NbdListener::leave);
-        Thread.sleep(ACCEPT_ON.toMillis());
-        clients.leave();
+        clients.answerBy(served);
         Thread.sleep(Time.until(told.plus(SERVE_ON)).toMillis());
         blockClients.ifPresent(NbdListener::refuseCommands);
-        Duration longest = config.settings().classes().stream().map(RequestClass::deadlineUs)
-                .map(Micros::span).max(Duration::compareTo).orElse(Duration.ZERO);
+        Thread.sleep(Time.until(served).toMillis());
+        clients.leave();
         Instant last = told.plus(SERVE_ON).plus(longest);
         while (pool.open() > 0 && Time.now().isBefore(last)) {
             Thread.sleep(LOOK.toMillis());
--- a/src/main/java/cypressglade/core/IoRequest.java
+++ b/src/main/java/cypressglade/core/IoRequest.java
@@ -6,6 +6,12 @@
 public record IoRequest(int shard, int requestClass, int plan, int hosts, boolean repeat, boolean write,
         long volume, long key, float units, Instant expiry) {
 
+    /** The same, answered by a time at the latest. */
+    public IoRequest by(Instant last) {
+        return last.isAfter(expiry) ? this : new IoRequest(shard, requestClass, plan, hosts, repeat, write,
+                volume, key, units, last);
+    }
+
     /** The module's form of it. */
     Scheduler.Request toModule(long id) {
         return new Scheduler.Request(id, shard, requestClass, plan, hosts, repeat, write, volume, key, units,
--- a/src/main/java/cypressglade/http/ClientListener.java
+++ b/src/main/java/cypressglade/http/ClientListener.java
@@ -75,7 +75,8 @@
     private RequestParser parser;
     private Budget budget;
     private int receiving;
-    private volatile boolean leaving;
+    private Instant last = Instant.MAX;
+    private boolean leaving;
 
     /** A client connection: since when nothing is open on it, and what room its body takes while it comes. */
     private static final class Client {
@@ -132,11 +133,18 @@
         return listening.address();
     }
 
+    /** What is taken from now on is answered by a time at the latest, and idle connections stay till then. */
+    public void answerBy(Instant time) {
+        loop.execute(() -> last = time);
+    }
+
     /** From now on each answer ends its connection, and idle ones are closed. */
     public void leave() {
-        leaving = true;
-        loop.execute(() -> clients.values().stream().filter(client -> !client.open && client.answered)
-                .forEach(this::closeUnlessAsked));
+        loop.execute(() -> {
+            leaving = true;
+            clients.values().stream().filter(client -> !client.open && client.answered)
+                    .forEach(this::closeUnlessAsked);
+        });
     }
 
     @Override
@@ -163,6 +171,7 @@
         ids.sweep();
         Instant oldest = Time.now().minus(PATIENCE);
         clients.values().stream().filter(client -> !client.open && client.since.isBefore(oldest))
+                .filter(client -> leaving || last.equals(Instant.MAX) || !client.answered)
                 .forEach(this::closeUnlessAsked);
         loop.after(SWEEP, this::sweep);
     }
@@ -219,7 +228,7 @@
         IoRequest request;
         try {
             request = parser.parse(exchange.getRequestMethod().toString(), exchange.getRequestURI(),
-                    exchange.getRequestHeaders(), arrived);
+                    exchange.getRequestHeaders(), arrived).by(last);
             if (exchange.getRequestContentLength() > MOST_BODY) {
                 throw new RequestParser.Rejected(413, "the body is over 64 KiB");
             }
--- a/src/test/java/cypressglade/http/ServeTest.java
+++ b/src/test/java/cypressglade/http/ServeTest.java
@@ -229,6 +229,30 @@
         stopped.get(5, TimeUnit.SECONDS);
     }
 
+    /** Guards against a stop that turns clients away long before the kill: what would come through it is lost. */
+    @Test
+    void stopServesOpenConnectionsUntilShortlyBeforeTheKill() throws Exception {
+        try (Socket client = site.connect()) {
+            DataInputStream in = new DataInputStream(client.getInputStream());
+            Instant told = Instant.now();
+            CompletableFuture<Void> stopped = site.drain();
+            Instant served = told;
+            try {
+                while (true) {
+                    client.getOutputStream().write(Site.request("GET", READ, HEADERS, "")
+                            .getBytes(StandardCharsets.ISO_8859_1));
+                    if (Message.read(in).status() == 200) {
+                        served = Instant.now();
+                    }
+                }
+            } catch (IOException closed) {
+                // The longest deadline of the example is 1 s; the kill comes 0.7 s after that.
+                assertThat(Duration.between(told, served)).isBetween(Duration.ofSeconds(1), Duration.ofMillis(1700));
+            }
+            stopped.get(5, TimeUnit.SECONDS);
+        }
+    }
+
     @Test
     void stopClosesIdleConnections() throws Exception {
         try (Socket client = site.connect()) {
