--- a/src/main/java/cypressglade/cli/Rehearsal.java
+++ b/src/main/java/cypressglade/cli/Rehearsal.java
@@ -63,7 +63,8 @@
                 Engine engine = new Engine(config.settings(), directory, counters);
                 RequestPool pool = new RequestPool(config.budget().requests(), STACK_BYTES, counters)) {
             NodeClient nodes = new NodeClient(new NodePool(loop, directory, counters, config.connectTimeout(),
-                    config.idleLimit(), config.budget().nodeConnections()));
+                    config.idleLimit(), config.budget().nodeConnections()),
+                    config.budget().answerBytes());
             engine.start(node -> nodes);
             engine.told(new NodeList(1, true, List.of(new NodeList.Entry("rehearsal", config.listen(), 0,
                     0, 0, State.READY, 1, Instant.EPOCH))));
--- a/src/main/java/cypressglade/cli/Serve.java
+++ b/src/main/java/cypressglade/cli/Serve.java
@@ -42,6 +42,7 @@
     private final RequestPool pool;
     private final ClientListener clients;
     private final NodePool connections;
+    private final NodeClient nodes;
     private final DiscoveryWatch discovery;
     private final Optional<NbdNodeLink> nbdNodes;
     private final Optional<NbdListener> blockClients;
@@ -55,7 +56,7 @@
         pool = new RequestPool(config.budget().requests(), STACK_BYTES, counters);
         connections = new NodePool(loop, directory, counters, config.connectTimeout(),
                 config.idleLimit(), config.budget().nodeConnections());
-        NodeClient nodes = new NodeClient(connections);
+        nodes = new NodeClient(connections, config.budget().answerBytes());
         nbdNodes = nbd.map(front -> new NbdNodeLink(connections, front));
         engine.start(node -> nbdNodes.isPresent() && nbdNodes.get().speaksTo(directory.ready(node))
                 ? nbdNodes.get() : nodes);
@@ -80,6 +81,7 @@
         engine.use(next.settings());
         clients.use(next.settings(), next.budget());
         pool.use(next.budget().requests());
+        nodes.use(next.budget().answerBytes());
         connections.use(next.connectTimeout(), next.idleLimit(), next.budget().nodeConnections());
         discovery.use(next.discovery(), next.nodeLists());
         if (nbd.isPresent() && blockClients.isPresent()) {
--- a/src/main/java/cypressglade/config/Budget.java
+++ b/src/main/java/cypressglade/config/Budget.java
@@ -17,6 +17,11 @@
         return memoryMb << 20 >> 6;
     }
 
+    /** Room for bodies of answers, while they come from the nodes and again while they go to the clients. */
+    public int answerBytes() {
+        return memoryMb << 20 >> 4;
+    }
+
     /** The platform's clients hold at most a third of the descriptors; the rest is for the others. */
     public int clientConnections() {
         return shared() * 11 / 20;
--- a/src/main/java/cypressglade/http/Body.java
+++ b/src/main/java/cypressglade/http/Body.java
@@ -20,6 +20,11 @@
         size = wanted;
     }
 
+    /** What it takes of the heap. */
+    int room() {
+        return bytes.length;
+    }
+
     byte[] bytes() {
         return size == bytes.length ? bytes : Arrays.copyOf(bytes, size);
     }
--- a/src/main/java/cypressglade/http/ClientListener.java
+++ b/src/main/java/cypressglade/http/ClientListener.java
@@ -15,7 +15,10 @@
 import io.undertow.Handlers;
 import io.undertow.UndertowOptions;
 import io.undertow.connector.PooledByteBuffer;
+import io.undertow.io.DefaultIoCallback;
+import io.undertow.io.IoCallback;
 import io.undertow.io.Receiver;
+import io.undertow.io.Sender;
 import io.undertow.server.DefaultByteBufferPool;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.protocol.http.HttpOpenListener;
@@ -51,6 +54,7 @@
     private static final int MOST_BODY = 64 * 1024;
     private static final int MOST_HEAD = 16 * 1024;
     private static final int BUFFER = 4 * 1024;
+    private static final int PART = 64 * 1024;
     /** A connection with no open request may be closed after 2 s; one of no client must be within 3 s. */
     private static final Duration PATIENCE = Duration.ofMillis(2200);
     private static final Duration RECEIVE_LIMIT = Duration.ofSeconds(2);
@@ -75,6 +79,7 @@
     private RequestParser parser;
     private Budget budget;
     private int receiving;
+    private int answering;
     private Instant last = Instant.MAX;
     private boolean leaving;
 
@@ -85,6 +90,7 @@
         private boolean open;
         private boolean answered;
         private int receiving;
+        private int answering;
 
         private Client(StreamConnection connection) {
             this.connection = connection;
@@ -199,6 +205,7 @@
     /** The one place where what a connection holds here is given back. */
     private void left(Client client) {
         received(client);
+        answered(client);
         clients.remove(client.connection);
     }
 
@@ -360,8 +367,22 @@
         answer(exchange, status, (why + "\n").getBytes(StandardCharsets.UTF_8));
     }
 
+    /** The one place where the room of an answer is given back. */
+    private void answered(Client client) {
+        answering -= client.answering;
+        client.answering = 0;
+    }
+
     private void answer(HttpServerExchange exchange, int status, byte[] body) {
         Client client = client(exchange);
+        if (!client.connection.isOpen()) { // the client left just now
+            left(client);
+            return;
+        }
+        if (body.length > budget.answerBytes() - answering) { // clients that do not read hold too much
+            answer(exchange, 502, new byte[0]);
+            return;
+        }
         client.open = false;
         client.since = Time.now();
         client.answered = true;
@@ -374,7 +395,30 @@
             exchange.setPersistent(false);
         }
         exchange.getResponseHeaders().put(Headers.CONTENT_LENGTH, Integer.toString(body.length));
-        exchange.getResponseSender().send(ByteBuffer.wrap(body));
+        client.answering = body.length;
+        answering += body.length;
+        exchange.addExchangeCompleteListener((done, next) -> {
+            answered(client);
+            next.proceed();
+        });
+        send(exchange, ByteBuffer.wrap(body));
+    }
+
+    /**
+     * Sends a body part by part. Guards against a write of all that is left, which copies it whole into a
+     * buffer outside the heap each time, whatever the socket takes.
+     */
+    private static void send(HttpServerExchange exchange, ByteBuffer left) {
+        int size = Math.min(left.remaining(), PART);
+        ByteBuffer part = left.slice(left.position(), size);
+        left.position(left.position() + size);
+        exchange.getResponseSender().send(part, !left.hasRemaining() ? IoCallback.END_EXCHANGE
+                : new DefaultIoCallback() {
+                    @Override
+                    public void onComplete(HttpServerExchange same, Sender sender) {
+                        send(same, left);
+                    }
+                });
     }
 
     /**
--- a/src/main/java/cypressglade/http/NodeClient.java
+++ b/src/main/java/cypressglade/http/NodeClient.java
@@ -17,14 +17,27 @@
 
 /** The platform's storage nodes: HTTP/1.1. */
 public final class NodeClient implements NodeLink<HttpWork> {
-    private static final int MOST_BODY = 64 * 1024;
+    /**
+     * Answers of some 400 KB were seen where the protocol speaks of 64 KiB: such an answer is a good one.
+     * Beyond this it is none, and all that are coming in together stay within the budget.
+     */
+    private static final int MOST_BODY = 2 << 20;
     /** An answer is written at once: where its rest stays out for so long, it never comes. */
     private static final Duration MOST_SILENCE = Duration.ofMillis(200);
 
     private final NodePool pool;
+    private volatile int mostComing;
+    private int coming;
 
-    public NodeClient(NodePool pool) {
+    /** Nodes behind a pool, whose answers may take so much room while they come. */
+    public NodeClient(NodePool pool, int mostComing) {
         this.pool = pool;
+        this.mostComing = mostComing;
+    }
+
+    /** Takes a new bound on what is coming in. */
+    public void use(int most) {
+        mostComing = most;
     }
 
     @Override
@@ -91,8 +104,18 @@
             return parser.status() == 200 ? Status.OK : Status.ERROR;
         }
 
-        private void take(ByteBuffer part) {
+        private void take(ByteBuffer part) throws IOException {
+            coming -= body.room();
             body.add(part, parser.length());
+            coming += body.room();
+            if (coming > mostComing) {
+                throw new IOException("no room for the answer");
+            }
+        }
+
+        @Override
+        protected void over() {
+            coming -= body.room();
         }
     }
 }
--- a/src/main/java/cypressglade/http/ResponseParser.java
+++ b/src/main/java/cypressglade/http/ResponseParser.java
@@ -4,7 +4,6 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
-import java.util.function.Consumer;
 
 /**
  * Reads one HTTP/1.1 answer, split at any byte; hands on the body as it comes. It takes nothing on trust:
@@ -17,9 +16,14 @@
     private static final String START = "HTTP/1.";
     private static final String NAME_SIGNS = "!#$%&'*+-.^_`|~";
 
+    /** Takes parts of a body; a failure ends the answer. */
+    interface Taker {
+        void accept(ByteBuffer part) throws IOException;
+    }
+
     private enum Part { STATUS, HEADERS, BODY, CHUNK_SIZE, CHUNK, CHUNK_END, TRAILERS, TO_END, DONE }
 
-    private final Consumer<ByteBuffer> body;
+    private final Taker body;
     private final long mostBody;
     private final StringBuilder line = new StringBuilder();
     private Part part = Part.STATUS;
@@ -33,7 +37,7 @@
     private boolean neverRan;
 
     /** A reader of an answer with a body of so many bytes at most. */
-    ResponseParser(Consumer<ByteBuffer> body, long mostBody) {
+    ResponseParser(Taker body, long mostBody) {
         this.body = body;
         this.mostBody = mostBody;
     }
--- a/src/main/java/cypressglade/net/NodePool.java
+++ b/src/main/java/cypressglade/net/NodePool.java
@@ -192,6 +192,9 @@
 
         protected abstract byte[] answer();
 
+        /** It has ended: what it holds is given back. */
+        protected void over() { }
+
         /** Starts it; returns at once. */
         public Attempt start() {
             loop.execute(this::open);
@@ -341,7 +344,9 @@
             } else if (dial != null) {
                 dial.cancel();
             }
-            ended.accept(status == Status.OK ? new Ending(status, answer()) : Ending.of(status));
+            Ending ending = status == Status.OK ? new Ending(status, answer()) : Ending.of(status);
+            over();
+            ended.accept(ending);
         }
     }
 }
