--- a/src/main/java/cypressglade/core/Brain.java
+++ b/src/main/java/cypressglade/core/Brain.java
@@ -140,7 +140,7 @@
         shards.clear();
         nodes.values().stream().filter(node -> node.ready).forEach(node -> shards.put(node.shard, node));
         nodes.values().stream().filter(node -> !node.ready).forEach(node -> moveHeld(now, node));
-        nodes.values().removeIf(node -> !node.ready && node.idle());
+        nodes.values().removeIf(node -> !node.ready && node.empty()); // also one that is down: nobody asks it
     }
 
     @Override
@@ -273,6 +273,11 @@
         startTicking();
     }
 
+    /** How many nodes it keeps something of. */
+    int nodesKept() {
+        return nodes.size();
+    }
+
     // ---- admission
 
     /**
@@ -746,7 +751,11 @@
         }
 
         boolean idle() {
-            return !down && out.isEmpty() && queue.isEmpty() && parked.isEmpty();
+            return !down && empty();
+        }
+
+        boolean empty() {
+            return out.isEmpty() && queue.isEmpty() && parked.isEmpty();
         }
 
         /** What was learned of the node drifts to the average of all while it is not heard of. */
--- a/src/main/java/cypressglade/core/NodeDirectory.java
+++ b/src/main/java/cypressglade/core/NodeDirectory.java
@@ -24,6 +24,7 @@
     private final Map<String, Long> numbers = new HashMap<>();
     private final Map<Long, Known> nodes = new HashMap<>();
     private long version;
+    private long lastNumber;
 
     /** Takes in a list; returns the module's form of it. */
     public synchronized List<NodeEntry> update(NodeList list) {
@@ -31,7 +32,7 @@
         Set<Long> named = new HashSet<>();
         List<NodeEntry> entries = new ArrayList<>();
         for (NodeList.Entry entry : list.entries()) {
-            long number = numbers.computeIfAbsent(entry.id(), id -> (long) numbers.size() + 1);
+            long number = numbers.computeIfAbsent(entry.id(), id -> ++lastNumber);
             named.add(number);
             nodes.put(number, new Known(entry.id(), entry.address(), entry.cell(), entry.state()));
             entries.add(new NodeEntry(number, entry.zone(), entry.state(), entry.cell(), entry.weight(),
@@ -41,6 +42,7 @@
             nodes.keySet().retainAll(named);
         }
         nodes.values().removeIf(node -> node.state() == State.GONE);
+        numbers.values().retainAll(nodes.keySet()); // replaced nodes come with new ids, all day long
         return entries;
     }
 
@@ -48,6 +50,11 @@
         return list.full() ? ListKind.FULL : ListKind.DELTA;
     }
 
+    /** How many nodes are known. */
+    synchronized int size() {
+        return numbers.size();
+    }
+
     public synchronized long version() {
         return version;
     }
--- a/src/main/java/cypressglade/net/NodePool.java
+++ b/src/main/java/cypressglade/net/NodePool.java
@@ -68,11 +68,13 @@
     private final class Idle implements Wire.Listener {
         private final Wire wire;
         private final String use;
+        private final long node;
         private final Instant since = Time.now();
 
-        Idle(Wire wire, String use) {
+        Idle(Wire wire, String use, long node) {
             this.wire = wire;
             this.use = use;
+            this.node = node;
         }
 
         @Override
@@ -107,8 +109,8 @@
         return Optional.empty();
     }
 
-    private void keep(Wire wire, String use) {
-        Idle kept = new Idle(wire, use);
+    private void keep(Wire wire, String use, long node) {
+        Idle kept = new Idle(wire, use, node);
         idle.computeIfAbsent(use, key -> new ArrayDeque<>()).addLast(kept);
         wire.listen(kept);
     }
@@ -122,9 +124,9 @@
     private void sweep() {
         Instant oldest = Time.now().minus(idleLimit);
         for (ArrayDeque<Idle> kept : idle.values()) {
-            while (!kept.isEmpty() && kept.peekFirst().since.isBefore(oldest)) {
-                kept.peekFirst().discard();
-            }
+            // Nothing more goes to a node that drains or is gone: its connections are of no use to anyone.
+            List.copyOf(kept).stream().filter(one -> one.since.isBefore(oldest)
+                    || directory.ready(one.node).isEmpty()).forEach(Idle::discard);
         }
         idle.values().removeIf(ArrayDeque::isEmpty);
         loop.after(SWEEP, this::sweep);
@@ -251,7 +253,7 @@
             }
             Duration left = Time.until(until);
             if (left.isZero() || directory.ready(node).isEmpty()) {
-                keep(wire, use);
+                keep(wire, use, node);
                 wire = null;
                 holdBack(left.isZero() ? Status.MOOT : Status.CONNECT_FAILED);
                 return;
@@ -287,7 +289,7 @@
                 spoilt(); // no answer to a request that is not all written
             } else {
                 if (!in.hasRemaining() && reusable() && wire.unsent() == 0) {
-                    keep(wire, use);
+                    keep(wire, use, node);
                     wire = null;
                 }
                 end(whole.get());
--- a/src/test/java/cypressglade/net/NodePoolTest.java
+++ b/src/test/java/cypressglade/net/NodePoolTest.java
@@ -123,6 +123,19 @@
         }
     }
 
+    /** Guards against connections that outlive their node, as descriptors of ours and as room of the node's. */
+    @Test
+    void idleConnectionGoesWithItsNode() throws Exception {
+        try (node; Loop loop = new Loop()) {
+            tell(State.READY);
+            NodePool pool = new NodePool(loop, directory, new Counters(), Duration.ofMillis(250),
+                    Duration.ofMinutes(1), 4);
+            assertThat(exchange(pool, 1, LONG, Runnable::run).status()).isEqualTo(Status.OK);
+            tell(State.GONE);
+            assertThat(nodeSawTheEnd.await(5, TimeUnit.SECONDS)).isTrue();
+        }
+    }
+
     /** Guards against waiting on a machine that is cut off: a full backlog swallows connections as it does. */
     @Test
     void connectionThatNeverComesUpEndsByItsLimit() throws Exception {
