Teach the module by attempts that a short patience ended, not only by what came in time

Checked by a probe in RequestLife: sent at once, ended by the client's time, node alive (others were served). At fault: Brain.learn passed over TIMEOUT, so only answers that came in time were learned from.

--- a/src/main/java/cypressglade/core/Brain.java
+++ b/src/main/java/cypressglade/core/Brain.java
@@ -601,6 +601,13 @@
                 teach(now, node, sent, outcome.latencyUs());
             }
             case ERROR -> heard(now, node, true);
+            case TIMEOUT -> {
+                // Or only what came in time would be learned from, and clients of little patience would make
+                // a crowded node look quick. Covers those; a hang is told by silence and teaches no speed.
+                if (outcome.latencyUs() > sent.expected && outcome.latencyUs() < SILENT_US) {
+                    teach(now, node, sent, outcome.latencyUs());
+                }
+            }
             case FULL -> node.restUntil = now + FULL_REST_US;
             case CONNECT_FAILED, RESET -> node.down = true;
             default -> { }
--- a/src/test/java/cypressglade/core/BrainTest.java
+++ b/src/test/java/cypressglade/core/BrainTest.java
@@ -12,6 +12,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayList;
 import java.util.List;
 import cypressglade.core.Scheduler.ListKind;
 import cypressglade.core.Scheduler.Scope;
@@ -160,6 +161,27 @@
         assertEquals(1, head.count("fail 1"));
     }
 
+    /** Guards against learning only from what came in time: a crowded node would look quick to short patience. */
+    @Test
+    void attemptsThatAShortPatienceEndedTeachThatTheNodeIsSlow() {
+        Head head = new Head();
+        head.probes = false;
+        head.start(1);
+        List<Long> sent = new ArrayList<>();
+        for (int round = 0; round < 8; round++) {
+            long before = head.count("send");
+            for (int id = round * 20; id < round * 20 + 20; id++) {
+                head.ask(id, 0, READ, PLAIN, 2, 120, id + 1);
+            }
+            head.pass(120);
+            for (int id = round * 20; id < round * 20 + 20; id++) {
+                head.end(id, 0, 0, Status.TIMEOUT, 120);
+            }
+            sent.add(head.count("send") - before);
+        }
+        assertTrue(sent.get(7) < sent.get(0), "sent by round: " + sent);
+    }
+
     @Test
     void nothingIsSentOrAnsweredAfterWithdrawal() {
         Head head = new Head().start(1);
