In a crowd, let connections that never asked a request make way after 0.1 s

A probe that printed what the connections do showed 188 of 188 at rest with "answered" set while only 9 requests a second were taken: hundreds ask for the health or nothing, each held its place for 1 s, and clients waited in the backlog behind them. At fault: ClientListener.answer set answered for any answer; makeRoom took 16 connections in 200 ms. Now only a request counts, the others make way after 0.1 s once two thirds of the bound are in use, looked for every 20 ms.

--- a/src/main/java/cypressglade/http/ClientListener.java
+++ b/src/main/java/cypressglade/http/ClientListener.java
@@ -61,13 +61,14 @@
     private static final Duration READING = Duration.ofSeconds(7);
     private static final Duration RECEIVE_LIMIT = Duration.ofSeconds(2);
     private static final Duration SWEEP = Duration.ofMillis(200);
+    private static final Duration SWEEP_CROWD = Duration.ofMillis(20);
     /** From the last look at a connection to its close, so that what has come by then is still read. */
     private static final Duration LAST_LOOK = Duration.ofMillis(2);
     /** From an answer to a request that is not read to the close, which may overtake the answer. */
     private static final Duration LINGER = Duration.ofMillis(100);
     /** When a connection may make way for others: one that was used, and one that never said anything. */
     private static final Duration RESTED = Duration.ofSeconds(1);
-    private static final Duration SILENT = Duration.ofMillis(300);
+    private static final Duration SILENT = Duration.ofMillis(100);
     /** Accepted beyond the bound, while those that make way for them close. */
     private static final int CROSSING = 8;
 
@@ -93,7 +94,7 @@
         private final StreamConnection connection;
         private Instant since = Time.now();
         private boolean open;
-        private boolean answered;
+        private boolean answered; // a request, not just a look at the health
         private boolean writing;
         private boolean closing;
         private int receiving;
@@ -179,24 +180,30 @@
     }
 
     /**
-     * Near the bound, those who said nothing for a while make way, then those who have waited longest; where
-     * all are at work, whoever comes waits in the backlog. A connection that was used just now is spared:
-     * while this program is short of time, the next request may be on it and not read yet.
+     * Where many are here, those who said nothing since they came make way at once: a client asks right after
+     * it connects, and others wait behind them in the backlog, by the hundreds in a crowd. At the bound those
+     * at rest follow, longest first; one that was used just now is spared, as its next request may be on it
+     * and not read yet while this program is short of time.
      */
     private void makeRoom() {
-        if (clients.size() < budget.clientConnections()) {
+        if (!crowded()) {
             return;
         }
         forgetClosed();
         Instant now = Time.now();
-        clients.values().stream().filter(client -> client.idle() && !client.closing)
-                .filter(client -> client.since.isBefore(now.minus(client.answered ? RESTED : SILENT)))
-                .sorted(Comparator.comparing((Client client) -> client.answered)
-                        .thenComparing(client -> client.since))
+        clients.values().stream().filter(client -> client.idle() && !client.closing && !client.answered)
+                .filter(client -> client.since.isBefore(now.minus(SILENT))).forEach(this::closeUnlessAsked);
+        clients.values().stream().filter(client -> client.idle() && !client.closing && client.answered)
+                .filter(client -> client.since.isBefore(now.minus(RESTED)))
+                .sorted(Comparator.comparing(client -> client.since))
                 .limit(Math.max(0, clients.size() - budget.clientConnections() + CROSSING))
                 .forEach(this::closeUnlessAsked);
     }
 
+    private boolean crowded() {
+        return clients.size() >= budget.clientConnections() * 2 / 3;
+    }
+
     private void sweep() {
         forgetClosed();
         makeRoom();
@@ -208,7 +215,7 @@
         clients.values().stream().filter(client -> client.idle() && client.since.isBefore(oldest))
                 .filter(client -> leaving || last.equals(Instant.MAX) || !client.answered)
                 .forEach(this::closeUnlessAsked);
-        loop.after(SWEEP, this::sweep);
+        loop.after(crowded() ? SWEEP_CROWD : SWEEP, this::sweep);
     }
 
     /** Closes a connection unless its next request is here already. */
@@ -414,9 +421,9 @@
             answer(exchange, 502, new byte[0]);
             return;
         }
+        client.answered |= client.open; // whoever only looks at the health makes way as the silent do
         client.open = false;
         client.since = Time.now();
-        client.answered = true;
         if (!exchange.isRequestComplete()) {
             answerUnread((HttpServerConnection) exchange.getConnection(), client, status);
             return;
--- a/src/test/java/cypressglade/http/ServeTest.java
+++ b/src/test/java/cypressglade/http/ServeTest.java
@@ -308,13 +308,15 @@
         assertThat(read().status()).isEqualTo(200);
     }
 
-    /** Guards against silent connections keeping clients out: whoever has waited longest makes way. */
+    /** Guards against silent connections keeping clients out, here or in the backlog, where hundreds come. */
     @Test
     void silentConnectionsDoNotKeepClientsOut() throws Exception {
         List<Socket> silent = new ArrayList<>();
         try {
-            for (int i = 0; i < site.config.budget().clientConnections() + 100; i++) {
+            for (int i = 0; i < site.config.budget().clientConnections() + 450; i++) {
                 silent.add(site.connect());
+                silent.get(i).getOutputStream().write(i % 3 == 0 ? new byte[0] : Site.request("GET", "/healthz", "", "")
+                        .getBytes(StandardCharsets.ISO_8859_1));
             }
             assertThat(read().status()).isEqualTo(200);
         } finally {
