Begin to make room at five sixths of the bound, above what the platform's clients hold

With 256 descriptors two thirds of the bound are 73 connections, and the platform's clients may hold 85.

--- a/src/main/java/cypressglade/http/ClientListener.java
+++ b/src/main/java/cypressglade/http/ClientListener.java
@@ -201,7 +201,7 @@
     }
 
     private boolean crowded() {
-        return clients.size() >= budget.clientConnections() * 2 / 3;
+        return clients.size() >= budget.clientConnections() * 5 / 6; // the platform's own stay below that
     }
 
     private void sweep() {
