Add what a scheduler may learn from others: hints to the module, belief, membership

Need: a scheduler that has just started takes every node for average. Change: Brain.hint takes hearsay on a node that nothing came back of for a second, behind a window of two mean requests until an own answer or probe; Brain.views tells what is known. Package learn weighs words by age and origin, package member is SWIM with suspicion and a replay guard; both without I/O. Nothing calls it yet.

--- a/src/main/java/cypressglade/core/Brain.java
+++ b/src/main/java/cypressglade/core/Brain.java
@@ -38,6 +38,7 @@
     private static final double AIM_PART = 0.5; // part of the tightest aim that the units out may take
     private static final double LEAST_OUT = 12; // requests that all heads together may always have out
     private static final double CEILING_MEANS = 16; // most units out at a node, in mean requests
+    private static final double GUARD_MEANS = 2; // the same for a node known by hearsay only
     private static final int PUSH_BACKS = 24; // times that a held request may be overtaken
     private static final double HERD_SPREAD = 0.03; // chance in placing, against heads herding
     private static final double BACKGROUND_AIM = 2; // least aim of a background class, in tightest aims
@@ -234,10 +235,42 @@
             double seen = Math.max(latencyUs, queue * settings.meanUnits() * node.pace(now));
             node.setBacklog(now, node.backlog(now) + PROBE_TRUST * (seen - node.backlog(now)));
         }
+        node.guarded &= status != Status.OK && !node.down; // by now this head has seen for itself
         decideParked(now, node);
         dispatch(now, node);
     }
 
+    /**
+     * Word of others on a node of which nothing came back to this head lately: it stands in for what is
+     * learned until an answer or a probe confirms it, and opens a small window only. Covers starts; may hurt
+     * where the word is wrong, by one probe. On warmth the colder word holds, whatever is known here.
+     */
+    @Override
+    public void hint(long now, Hint hint) {
+        Node node = nodes.get(hint.node());
+        if (node == null) {
+            return;
+        }
+        node.coldFrom = Math.max(node.coldFrom, Math.min(now, hint.startedUs()));
+        if (node.out.isEmpty() && (node.seenAt == Long.MIN_VALUE || now - node.seenAt > FORGET_US)) {
+            node.heardAt = now;
+            node.pace = hint.paceUs();
+            node.backlog = hint.backlogUs();
+            node.strain = hint.strain();
+            node.errors = hint.errors();
+            node.guarded = true;
+            node.down = hint.silent() && limits.probes();
+            double part = Math.max(AVERAGE_SMOOTHING, 1.0 / (++answers + FIRST_ANSWERS));
+            averagePace += part * (node.pace - averagePace);
+            startTicking();
+        }
+    }
+
+    @Override
+    public List<NodeView> views(long now) {
+        return nodes.values().stream().map(node -> node.view(now)).toList();
+    }
+
     @Override
     public void message(long now, long fromRank, byte[] text) {
         // Heads tell each other nothing: lending what is spare of a limit brought nothing (design page).
@@ -504,9 +537,8 @@
             double quiet = node.backlog(now) + (node.outUnits + settings.meanUnits()) * node.pace(now);
             return quiet <= BACKGROUND_PART * slack(now, node, held.worth) * tightestAim;
         }
-        double bound = (AIM_PART * tightestAim - node.backlog(now)) / node.pace(now) - settings.meanUnits();
-        return node.out.size() < leastOut
-                || node.outUnits + held.work <= Math.min(bound, CEILING_MEANS * settings.meanUnits());
+        return node.out.size() < (node.guarded ? 1 : leastOut)
+                || node.outUnits + held.work <= node.bound(now);
     }
 
     /** Whether the rules on limits and order let this request go now. */
@@ -653,6 +685,7 @@
         node.answeredAt = now;
         node.seenAt = now;
         node.down = false;
+        node.guarded = false;
         node.errors += SMOOTHING * ((error ? 1 : 0) - node.errors);
     }
 
@@ -732,8 +765,9 @@
     /** A storage node as this head sees it. */
     private final class Node {
         private long address, startedUs, testedAt, restUntil, trustedUntil;
+        private long coldFrom; // the latest start that others tell of
         private int shard;
-        private boolean ready, down;
+        private boolean ready, down, guarded; // guarded: known by hearsay only
         private double pace, backlog, strain, errors, outUnits;
         private int answers;
         private final ArrayDeque<Long> recentKeys = new ArrayDeque<>();
@@ -749,6 +783,7 @@
                 heardAt = Long.MIN_VALUE;
                 answers = 0;
                 down = false;
+                guarded = false;
                 errors = 0;
             }
             address = entry.node();
@@ -818,6 +853,20 @@
             }
         }
 
+        /** Units that may be out; a background class asks for less. */
+        double bound(long now) {
+            double bound = (AIM_PART * tightestAim - backlog(now)) / pace(now) - settings.meanUnits();
+            return Math.min(bound, (guarded ? GUARD_MEANS : CEILING_MEANS) * settings.meanUnits());
+        }
+
+        NodeView view(long now) {
+            boolean silent = silent(now, this);
+            return new NodeView(address, shard, ready, guarded, silent, startedUs, pace(now), backlog(now),
+                    strain(now), errors, answers, answeredAt == Long.MIN_VALUE ? -1 : now - answeredAt,
+                    seenAt == Long.MIN_VALUE ? -1 : now - seenAt, outUnits, bound(now), queue.size(),
+                    coldRoom(now));
+        }
+
         double heldAhead(Held held) {
             double ahead = 0;
             for (Held other : queue) {
@@ -836,9 +885,9 @@
          * die (their turn lapses); may hurt where few heads have all the traffic of the node.
          */
         double coldRoom(long now) {
-            long age = now - startedUs;
+            long age = now - Math.max(startedUs, coldFrom);
             coldSends.removeIf(sent -> sent[0] <= now - limits.fallUs());
-            if (startedUs == 0 || age >= limits.rampUs()) {
+            if (startedUs == 0 && coldFrom == 0 || age >= limits.rampUs()) {
                 return Double.MAX_VALUE;
             }
             double growth = limits.coldFrom() > 0 ? 1 / limits.coldFrom() - 1 : 0;
--- a/src/main/java/cypressglade/core/Engine.java
+++ b/src/main/java/cypressglade/core/Engine.java
@@ -2,6 +2,7 @@
 
 import cypressglade.core.NodeLink.Ending;
 import cypressglade.core.Scheduler.Actions;
+import cypressglade.core.Scheduler.Hint;
 import cypressglade.core.Scheduler.Outcome;
 import cypressglade.core.Scheduler.Settings;
 import cypressglade.core.Scheduler.Status;
@@ -9,6 +10,7 @@
 import java.time.Instant;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -31,12 +33,22 @@
     private final NodeDirectory directory;
     private final Counters counters;
     private final Scheduler scheduler;
+    private Settings settings;
+    private Share share = new Share(0, 0);
     private final Thread thread = new Thread(this::run, "engine");
     private Consumer<Probe> prober = probe -> probe.ended(Ending.of(Status.CONNECT_FAILED));
     private long lastId;
     private long lastTimer;
     private volatile boolean closing;
 
+    /** Which of how many instances this one is, where that is known better than by the settings. */
+    private record Share(int rank, int heads) {
+        /** Never a larger part than the settings give: on a limit the careful figure holds. */
+        Settings of(Settings told) {
+            return heads <= told.heads() ? told : told.among(rank, heads);
+        }
+    }
+
     private record Timer(Instant due, long number, long token) { }
 
     /** A probe that the module ordered; its end is told once. */
@@ -57,6 +69,7 @@
     public Engine(Settings settings, NodeDirectory directory, Counters counters) {
         this.directory = directory;
         this.counters = counters;
+        this.settings = settings;
         this.scheduler = new Brain(now(), settings, new Orders());
         thread.setDaemon(true);
     }
@@ -68,8 +81,29 @@
     }
 
     /** Takes new settings; what is open goes on under what it was taken with. */
-    public void use(Settings settings) {
-        post(() -> scheduler.use(settings));
+    public void use(Settings next) {
+        post(() -> {
+            settings = next;
+            scheduler.use(share.of(next));
+        });
+    }
+
+    /** This instance is one of so many, which shares out what all together may send. */
+    public void share(int rank, int heads) {
+        post(() -> {
+            share = new Share(rank, heads);
+            scheduler.use(share.of(settings));
+        });
+    }
+
+    /** What is known of the nodes; handed over on the engine's thread, at a cost of one pass over them. */
+    public void views(Consumer<List<NodeFact>> seen) {
+        post(() -> seen.accept(directory.facts(scheduler.views(now()))));
+    }
+
+    /** Hands on what others know of a node, by its id; of one that is not in the list nothing is kept. */
+    public void hint(String id, LongFunction<Hint> hint) {
+        post(() -> directory.number(id).ifPresent(node -> scheduler.hint(now(), hint.apply(node))));
     }
 
     /** Takes in what discovery told; it counts for the links at once. */
--- a/src/main/java/cypressglade/core/NodeDirectory.java
+++ b/src/main/java/cypressglade/core/NodeDirectory.java
@@ -2,6 +2,7 @@
 
 import cypressglade.core.Scheduler.ListKind;
 import cypressglade.core.Scheduler.NodeEntry;
+import cypressglade.core.Scheduler.NodeView;
 import cypressglade.core.Scheduler.State;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
@@ -10,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.stream.Collectors;
 
@@ -50,6 +52,18 @@
         return list.full() ? ListKind.FULL : ListKind.DELTA;
     }
 
+    /** The number of the node that has the id now. */
+    synchronized OptionalLong number(String id) {
+        Long number = numbers.get(id);
+        return number == null ? OptionalLong.empty() : OptionalLong.of(number);
+    }
+
+    /** The module's views by the ids of their nodes; one that left the list meanwhile is left out. */
+    synchronized List<NodeFact> facts(List<NodeView> views) {
+        return views.stream().filter(view -> nodes.containsKey(view.node()))
+                .map(view -> new NodeFact(nodes.get(view.node()), view)).toList();
+    }
+
     /** How many nodes are known. */
     synchronized int size() {
         return numbers.size();
--- a/src/main/java/cypressglade/core/Scheduler.java
+++ b/src/main/java/cypressglade/core/Scheduler.java
@@ -29,6 +29,12 @@
     /** What a probe found; {@code load} holds the values of {@link Settings#loadNames}, or nothing. */
     void probed(long nowUs, long node, Status status, long latencyUs, float[] load);
 
+    /** What others know of a node; counts only where this instance has seen nothing of the node lately. */
+    void hint(long nowUs, Hint hint);
+
+    /** What is known of each node. */
+    List<NodeView> views(long nowUs);
+
     /** A message of another head of the tier. */
     void message(long nowUs, long fromRank, byte[] text);
 
@@ -103,6 +109,23 @@
             int used,
             int byOthers, float[] load) { }
 
+    /**
+     * Hearsay on a node: microseconds a unit, microseconds that others' load adds to an answer, share of
+     * their aim that answers take, share of answers in error, whether nothing comes back, and the latest
+     * start (0: long ago).
+     */
+    record Hint(long node, double paceUs, double backlogUs, double strain, double errors, boolean silent,
+            long startedUs) { }
+
+    /**
+     * A node as the module sees it. {@code guarded} tells that all of it is hearsay; {@code answeredAgoUs}
+     * and {@code seenAgoUs} are -1 where no answer, and no sign of life, came yet; {@code coldRoom} is what
+     * may still be sent to a cold node, {@code Double.MAX_VALUE} to a warm one.
+     */
+    record NodeView(long node, int shard, boolean ready, boolean guarded, boolean silent, long startedUs,
+            double paceUs, double backlogUs, double strain, double errors, int answers, long answeredAgoUs,
+            long seenAgoUs, double outUnits, double boundUnits, int held, double coldRoom) { }
+
     /** A class of requests; times in microseconds. */
     record RequestClass(String name, long aimUs, double aimStretch, long deadlineUs, double worth,
             double lateWorth, Effect effect, Scope scope, long keyTtlUs, boolean keepOrder, boolean streamed,
@@ -122,5 +145,11 @@
     record Settings(long seed, int rank, int heads, int zone, boolean listOnRequest, long tickUs,
             List<RequestClass> classes, List<Plan> plans, List<String> loadNames, Limits limits,
             double meanUnits, double mostUnits, double fairWorth, double spareWorth, long meterUs,
-            boolean tellsOthers) { }
+            boolean tellsOthers) {
+        /** The same for one instance of a tier of another size. */
+        public Settings among(int newRank, int newHeads) {
+            return new Settings(seed, newRank, newHeads, zone, listOnRequest, tickUs, classes, plans,
+                    loadNames, limits, meanUnits, mostUnits, fairWorth, spareWorth, meterUs, tellsOthers);
+        }
+    }
 }
--- /dev/null
+++ b/src/main/java/cypressglade/learn/Belief.java
@@ -0,0 +1,78 @@
+package cypressglade.learn;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.ToDoubleFunction;
+import java.util.stream.Collectors;
+
+/** What words on one node come to, weighed by age, by answers and by how well their origins held so far. */
+final class Belief {
+    private final Instant now;
+    private final ToDoubleFunction<Origin> standing;
+    private final double averagePace;
+    private List<Word> words;
+
+    /**
+     * Of words on one node.
+     *
+     * @param averagePace microseconds a unit over all nodes that anyone told of
+     * @param standing how far an origin is believed, from 0 to 1
+     */
+    Belief(List<Word> words, Instant now, double averagePace, ToDoubleFunction<Origin> standing) {
+        this.words = words;
+        this.now = now;
+        this.averagePace = averagePace;
+        this.standing = standing;
+    }
+
+    /**
+     * What to tell the module.
+     *
+     * @param listedUs the start of the node as the own list has it
+     */
+    Optional<Taught> taught(String node, long listedUs) {
+        // Of two words on warmth the colder holds, the own list's among them. What was said of an earlier run
+        // of the node is of no use: the run that it was about is over.
+        long startedUs = words.stream().mapToLong(Word::startedUs).reduce(listedUs, Math::max);
+        words = words.stream().filter(word -> word.startedUs() == startedUs).toList();
+        Optional<Instant> newest = words.stream().map(Word::at).max(Instant::compareTo);
+        if (newest.isEmpty() || Duration.between(newest.get(), now).compareTo(Trust.LIFE) > 0) {
+            return Optional.empty();
+        }
+        Set<Origin> origins = words.stream().map(Word::origin).collect(Collectors.toSet());
+        double pace = mean(Word::paceUs, Trust.PACE_HALF, averagePace);
+        return Optional.of(new Taught(node, pace, mean(Word::backlogUs, Trust.BACKLOG_HALF, 0),
+                mean(Word::strain, Trust.STRAIN_HALF, 0), mean(Word::errors, Trust.ERRORS_HALF, 0), silent(),
+                startedUs > listedUs ? startedUs : 0, newest.get(), origins));
+    }
+
+    /** A word of silence holds until a later word that the node answers, while that one is fresh. */
+    private boolean silent() {
+        Optional<Instant> silent = newest(true, Trust.SILENT_LIFE);
+        Optional<Instant> healthy = newest(false, Trust.HEALTHY_LIFE);
+        return silent.isPresent() && (healthy.isEmpty() || !healthy.get().isAfter(silent.get()));
+    }
+
+    private Optional<Instant> newest(boolean silent, Duration life) {
+        return words.stream().filter(word -> word.silent() == silent && word.age(now).compareTo(life) <= 0)
+                .map(Word::at).max(Instant::compareTo);
+    }
+
+    /** The mean by weight, drawn to {@code otherwise} by as much as the best word lacks of full trust. */
+    private double mean(ToDoubleFunction<Word> figure, Duration half, double otherwise) {
+        double sum = 0;
+        double weights = 0;
+        double best = 0;
+        for (Word word : words) {
+            double weight = Trust.kept(word.age(now), half) * Trust.byAnswers(word.answers())
+                    * standing.applyAsDouble(word.origin());
+            sum += weight * figure.applyAsDouble(word);
+            weights += weight;
+            best = Math.max(best, weight);
+        }
+        return weights == 0 ? otherwise : otherwise + best * (sum / weights - otherwise);
+    }
+}
--- /dev/null
+++ b/src/main/java/cypressglade/member/Message.java
@@ -0,0 +1,17 @@
+package cypressglade.member;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+
+/**
+ * What instances send each other. The first of the news is always the sender itself.
+ *
+ * @param number of the ping that this is, or answers, on the side that sent the ping
+ * @param target whom a ping is meant for, empty where the sender knows an address only; whom to ask in the
+ *     sender's stead
+ * @param targetAt where that one is, for an indirect ping
+ */
+public record Message(Kind kind, long number, String target, InetSocketAddress targetAt, List<News> news) {
+    /** The kinds of SWIM. */
+    public enum Kind { PING, ACK, PING_FOR }
+}
--- /dev/null
+++ b/src/main/java/cypressglade/member/Swim.java
@@ -0,0 +1,356 @@
+package cypressglade.member;
+
+import cypressglade.member.Member.State;
+import cypressglade.member.Message.Kind;
+import java.net.InetSocketAddress;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+
+/**
+ * One instance's side of the membership protocol. Its owner calls {@link #tick} when {@link #due} has come
+ * and {@link #receive} for each message; both may send through {@link Out}. Not safe for use by several
+ * threads.
+ *
+ * <p>Each period one member is pinged, in an order shuffled anew each round, so that each is pinged once in a
+ * round (SWIM, 4.3). Who does not answer is asked for through others; who answers none of them is suspected,
+ * and taken for dead if it does not overrule that in time. Who stands accused is told with every message that
+ * goes to it, as it can clear itself only when it knows.
+ */
+public final class Swim {
+    private static final int MOST_RELAYS = 64;
+    private static final int TOLD_ON_LEAVING = 8;
+    private static final int MOST_LOST = 64;
+
+    private final Timing timing;
+    private final RandomGenerator random;
+    private final Out out;
+    private final List<InetSocketAddress> seeds;
+    private final Map<String, Entry> others = new LinkedHashMap<>();
+    private final List<String> round = new ArrayList<>();
+    private final Rumours rumours = new Rumours();
+    private final Map<Long, Relay> relays = new LinkedHashMap<>();
+    private Member self;
+    private long lastNumber;
+    private Probe probe;
+    private Instant nextProbe;
+    private Instant nextExchange;
+    private Instant nextReconnect;
+    private long conflicts;
+    private long turnedAway;
+
+    /** Where it all goes. */
+    public interface Out {
+        void send(InetSocketAddress to, Message message);
+
+        /** Both sides are to hand each other their whole lists: {@link Swim#list} and {@link Swim#merge}. */
+        void exchange(InetSocketAddress with);
+
+        /** What is known of a member has changed. */
+        void changed(Member member);
+    }
+
+    private static final class Entry {
+        private Member member;
+        private Instant since;
+        private final Set<String> accusers = new HashSet<>();
+
+        private Entry(Member member, Instant since) {
+            this.member = member;
+            this.since = since;
+        }
+    }
+
+    /** The one ping of this period. */
+    private record Probe(long number, String target, Instant helpAt, boolean helped) { }
+
+    /** A ping that was sent for another. */
+    private record Relay(InetSocketAddress asker, long number, Instant until) { }
+
+    /** Knows itself and where others may be found; the first tick joins them. */
+    public Swim(Member self, List<InetSocketAddress> seeds, Timing timing, RandomGenerator random, Out out,
+            Instant now) {
+        this.self = self;
+        this.seeds = seeds.stream().filter(seed -> !seed.equals(self.address())).toList();
+        this.timing = timing;
+        this.random = random;
+        this.out = out;
+        nextProbe = now;
+        nextReconnect = now;
+        nextExchange = now.plus(timing.exchange(1));
+    }
+
+    public Member self() {
+        return self;
+    }
+
+    /** Everyone who is known, this instance first. */
+    public List<Member> list() {
+        List<Member> list = new ArrayList<>(List.of(self));
+        others.values().forEach(entry -> list.add(entry.member));
+        return list;
+    }
+
+    /** Others that count as running. */
+    public List<Member> present() {
+        return others.values().stream().map(entry -> entry.member).filter(Member::present).toList();
+    }
+
+    /** How often another instance spoke under this one's name. */
+    public long conflicts() {
+        return conflicts;
+    }
+
+    /** How many members there was no room for. */
+    public long turnedAway() {
+        return turnedAway;
+    }
+
+    /** When the next tick is wanted. */
+    public Instant due() {
+        Instant due = nextProbe.isBefore(nextReconnect) ? nextProbe : nextReconnect;
+        due = nextExchange.isBefore(due) ? nextExchange : due;
+        return probe != null && !probe.helped && probe.helpAt.isBefore(due) ? probe.helpAt : due;
+    }
+
+    /** Does what is due. */
+    public void tick(Instant now) {
+        if (self.state() == State.LEFT) {
+            nextProbe = nextReconnect = nextExchange = Instant.MAX;
+            return;
+        }
+        if (probe != null && !probe.helped && !now.isBefore(probe.helpAt)) {
+            askOthers(now);
+        }
+        if (!now.isBefore(nextProbe)) {
+            endProbe(now);
+            judge(now);
+            startProbe(now);
+            nextProbe = now.plus(timing.period());
+        }
+        if (!now.isBefore(nextExchange)) {
+            pick(present(), 1, Set.of()).forEach(member -> out.exchange(member.address()));
+            nextExchange = now.plus(timing.exchange(others.size()));
+        }
+        if (!now.isBefore(nextReconnect)) {
+            reconnect();
+            nextReconnect = now.plus(timing.reconnect());
+        }
+    }
+
+    /** Takes a message; where it came from is where its answer goes. */
+    public void receive(Message message, InetSocketAddress from, Instant now) {
+        if (self.state() == State.LEFT) {
+            return;
+        }
+        message.news().forEach(news -> apply(news, now));
+        String sender = message.news().isEmpty() ? "" : message.news().get(0).member().name();
+        switch (message.kind()) {
+            case PING -> {
+                if (message.target().isEmpty() || message.target().equals(self.name())) {
+                    send(from, sender, Kind.ACK, message.number(), "", null);
+                }
+            }
+            case PING_FOR -> {
+                if (relays.size() < MOST_RELAYS && message.targetAt() != null) {
+                    long number = ++lastNumber;
+                    relays.put(number, new Relay(from, message.number(), now.plus(timing.period())));
+                    send(message.targetAt(), message.target(), Kind.PING, number, message.target(), null);
+                }
+            }
+            case ACK -> {
+                Relay relay = relays.remove(message.number());
+                if (relay != null) {
+                    send(relay.asker, "", Kind.ACK, relay.number, "", null);
+                } else if (probe != null && probe.number == message.number()) {
+                    probe = null;
+                }
+            }
+            default -> throw new IllegalStateException();
+        }
+    }
+
+    /** Takes in another's whole list. */
+    public void merge(Collection<Member> members, String by, Instant now) {
+        members.forEach(member -> apply(new News(member, by), now));
+    }
+
+    /** Leaves in order, so that nobody has to suspect this instance. */
+    public void leave(Instant now) {
+        if (self.state() != State.LEFT) {
+            List<Member> told = pick(present(), TOLD_ON_LEAVING, Set.of());
+            self = self.reborn(self.incarnation() + 1).as(State.LEFT);
+            told.forEach(member -> send(member.address(), member.name(), Kind.ACK, 0, "", null));
+            nextProbe = nextReconnect = nextExchange = Instant.MAX;
+            probe = null;
+        }
+    }
+
+    // ---- probing
+
+    private void startProbe(Instant now) {
+        relays.values().removeIf(relay -> relay.until.isBefore(now));
+        if (round.isEmpty()) {
+            present().forEach(member -> round.add(random.nextInt(round.size() + 1), member.name()));
+        }
+        while (!round.isEmpty()) {
+            Entry entry = others.get(round.remove(round.size() - 1));
+            if (entry != null && entry.member.present()) {
+                Member target = entry.member;
+                probe = new Probe(++lastNumber, target.name(), now.plus(timing.answer()), false);
+                send(target.address(), target.name(), Kind.PING, probe.number, target.name(), null);
+                return;
+            }
+        }
+    }
+
+    private void askOthers(Instant now) {
+        probe = new Probe(probe.number, probe.target, probe.helpAt, true);
+        Entry target = others.get(probe.target);
+        if (target != null) {
+            for (Member helper : pick(present(), timing.helpers(), Set.of(probe.target))) {
+                send(helper.address(), helper.name(), Kind.PING_FOR, probe.number, probe.target,
+                        target.member.address());
+            }
+        }
+    }
+
+    private void endProbe(Instant now) {
+        Entry target = probe == null ? null : others.get(probe.target);
+        probe = null;
+        if (target != null && target.member.present()) {
+            apply(new News(target.member.as(State.SUSPECT), self.name()), now);
+        }
+    }
+
+    /** Takes suspects whose time is up for dead, and forgets who has been gone for long. */
+    private void judge(Instant now) {
+        int count = present().size();
+        for (Entry entry : List.copyOf(others.values())) {
+            if (entry.member.state() == State.SUSPECT
+                    && !entry.since.plus(timing.suspicion(count, entry.accusers.size() - 1)).isAfter(now)) {
+                apply(new News(entry.member.as(State.DEAD), self.name()), now);
+            }
+        }
+        others.values().removeIf(entry -> entry.member.state() == State.LEFT
+                && entry.since.plus(timing.keepDead()).isBefore(now)
+                || entry.member.state() == State.DEAD && entry.since.plus(timing.keepLost()).isBefore(now));
+        others.values().stream().filter(entry -> entry.member.state() == State.DEAD)
+                .sorted(Comparator.comparing((Entry entry) -> entry.since).reversed()).skip(MOST_LOST)
+                .map(entry -> entry.member.name()).toList().forEach(others::remove);
+    }
+
+    /** Knocks at one that was lost or at a seed that is nobody's: a partition loses each side the other. */
+    private void reconnect() {
+        Set<InetSocketAddress> known = new HashSet<>();
+        present().forEach(member -> known.add(member.address()));
+        List<InetSocketAddress> lost = new ArrayList<>(seeds);
+        others.values().stream().filter(entry -> entry.member.state() == State.DEAD)
+                .forEach(entry -> lost.add(entry.member.address()));
+        lost.removeAll(known);
+        if (known.isEmpty()) { // alone: all seeds at once, as the start waits for it
+            lost.forEach(this::knock);
+        } else if (!lost.isEmpty()) {
+            knock(lost.get(random.nextInt(lost.size())));
+        }
+    }
+
+    private void knock(InetSocketAddress at) {
+        Optional<Member> there = others.values().stream().map(entry -> entry.member)
+                .filter(member -> member.address().equals(at)).findFirst();
+        send(at, there.map(Member::name).orElse(""), Kind.PING, ++lastNumber, "", null);
+    }
+
+    private List<Member> pick(List<Member> from, int most, Set<String> but) {
+        List<Member> left = new ArrayList<>(from);
+        left.removeIf(member -> but.contains(member.name()));
+        List<Member> picked = new ArrayList<>();
+        while (picked.size() < most && !left.isEmpty()) {
+            picked.add(left.remove(random.nextInt(left.size())));
+        }
+        return picked;
+    }
+
+    private void send(InetSocketAddress to, String name, Kind kind, long number, String target,
+            InetSocketAddress targetAt) {
+        List<News> news = new ArrayList<>(List.of(new News(self, self.name())));
+        Entry receiver = others.get(name);
+        if (receiver != null && receiver.member.state() != State.ALIVE) {
+            news.add(new News(receiver.member, self.name())); // it can only clear itself of what it knows
+        }
+        news.addAll(rumours.next(Timing.MOST_NEWS, timing.passOn(others.size() + 1)));
+        out.send(to, new Message(kind, number, target, targetAt, news));
+    }
+
+    // ---- what is told
+
+    private void apply(News news, Instant now) {
+        Member told = news.member();
+        if (told.name().equals(self.name())) {
+            applyToSelf(told);
+            return;
+        }
+        Entry entry = others.get(told.name());
+        if (entry == null) {
+            if (!told.present()) {
+                return; // who is gone need not be known
+            } else if (others.size() >= timing.mostMembers()) {
+                turnedAway++;
+                return;
+            }
+            Entry fresh = new Entry(told, now);
+            others.put(told.name(), fresh);
+            round.add(random.nextInt(round.size() + 1), told.name());
+            accuse(fresh, news);
+            spread(news);
+        } else if (told.overrules(entry.member)) {
+            boolean back = !entry.member.present() && told.present();
+            entry.member = told;
+            entry.since = now;
+            entry.accusers.clear();
+            accuse(entry, news);
+            spread(news);
+            if (back) {
+                round.add(random.nextInt(round.size() + 1), told.name());
+                out.exchange(told.address()); // a partition may have healed, with many behind it
+            }
+        } else if (told.state() == State.SUSPECT && told.incarnation() == entry.member.incarnation()
+                && entry.member.state() == State.SUSPECT && entry.accusers.size() <= Timing.SHARED_BY
+                && entry.accusers.add(news.by())) {
+            rumours.add(news); // one more accuser: the others are to count it too
+        }
+    }
+
+    private static void accuse(Entry entry, News news) {
+        if (entry.member.state() == State.SUSPECT) {
+            entry.accusers.add(news.by());
+        }
+    }
+
+    private void spread(News news) {
+        rumours.add(news);
+        out.changed(news.member());
+    }
+
+    /** Overrules whatever is told of this instance and is not so, be it of its life before a restart. */
+    private void applyToSelf(Member told) {
+        boolean other = told.life() != self.life();
+        if (other && told.state() == State.ALIVE && told.incarnation() > self.incarnation()) {
+            conflicts++; // its former life, or another instance under the same name
+        }
+        if (told.incarnation() >= self.incarnation() && (other || told.state() != State.ALIVE)
+                && self.state() != State.LEFT) {
+            self = self.reborn(told.incarnation() + 1);
+            rumours.add(new News(self, self.name()));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/cypressglade/member/Timing.java
@@ -0,0 +1,70 @@
+package cypressglade.member;
+
+import java.time.Duration;
+import java.util.List;
+
+/**
+ * The figures of the protocol.
+ *
+ * @param period between two probes of an instance, each of another member
+ * @param answer what a direct ping is waited for before others are asked; well under the period
+ * @param helpers how many others are asked
+ * @param mostMembers how many are known at most
+ * @param reconnect between two tries to reach one that is lost, or a seed
+ */
+public record Timing(Duration period, Duration answer, int helpers, int mostMembers, Duration reconnect) {
+    /** News that one message carries, beside the sender: some 60 bytes each. */
+    static final int MOST_NEWS = 8;
+    /** A change is passed on so often, times the logarithm of the number of members. */
+    private static final int PASS_ON = 4;
+    /** A suspicion that nobody shares is held for so many periods, times that logarithm. */
+    private static final int SUSPECT_MOST = 4;
+    /** The same for one that enough others share (Dadgar, Phillips, Currey, "Lifeguard", 2018). */
+    private static final int SUSPECT_LEAST = 1;
+    static final int SHARED_BY = 3;
+    /** Members, in steps of which whole lists are exchanged less often, so that their cost stays flat. */
+    private static final int EXCHANGE_STEP = 16;
+    private static final int EXCHANGE_PERIODS = 15;
+    /** Periods that what became of a member is kept, so that old word does not bring it back. */
+    private static final int KEEP_DEAD = 120;
+    private static final int KEEP_LOST = 1800;
+
+    /** As operated: a period of a second. */
+    public static Timing standard() {
+        return new Timing(Duration.ofSeconds(1), Duration.ofMillis(300), 3, 512, Duration.ofSeconds(10));
+    }
+
+    static int log(int members) {
+        return 32 - Integer.numberOfLeadingZeros(Math.max(1, members));
+    }
+
+    int passOn(int members) {
+        return PASS_ON * log(members);
+    }
+
+    /** How long a member stays suspect, after so many others said the same. */
+    Duration suspicion(int members, int sharers) {
+        double most = SUSPECT_MOST * log(members);
+        double least = SUSPECT_LEAST * log(members);
+        double part = Math.log(Math.min(SHARED_BY, sharers) + 1.0) / Math.log(SHARED_BY + 1.0);
+        return Duration.ofNanos((long) ((most - part * (most - least)) * period.toNanos()));
+    }
+
+    Duration exchange(int members) {
+        return period.multipliedBy(EXCHANGE_PERIODS * (long) (1 + members / EXCHANGE_STEP));
+    }
+
+    Duration keepDead() {
+        return period.multipliedBy(KEEP_DEAD);
+    }
+
+    Duration keepLost() {
+        return period.multipliedBy(KEEP_LOST);
+    }
+
+    /** The figures that cannot be worked with, or nothing. */
+    public List<String> faults() {
+        return period.isNegative() || period.isZero() || answer.compareTo(period.dividedBy(2)) > 0
+                ? List.of("the period must be at least twice the wait for an answer") : List.of();
+    }
+}
--- /dev/null
+++ b/src/main/java/cypressglade/peer/Envelope.java
@@ -0,0 +1,13 @@
+package cypressglade.peer;
+
+import cypressglade.member.Message;
+import java.util.Optional;
+
+/**
+ * A datagram's body. One without a message tells the life of its sender to somebody who named another.
+ *
+ * @param from life of the sender
+ * @param to life of the receiver, 0 where the sender does not know it
+ * @param number counts up with each datagram of the sender
+ */
+record Envelope(long from, long to, long number, Optional<Message> message) { }
--- /dev/null
+++ b/src/test/java/cypressglade/member/SwimTest.java
@@ -0,0 +1,164 @@
+package cypressglade.member;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import cypressglade.member.Member.State;
+import cypressglade.standin.VirtualNet;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Random;
+import java.util.SplittableRandom;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Membership in virtual time. */
+class SwimTest {
+    private static final Duration MINUTE = Duration.ofMinutes(1);
+    private final VirtualNet net = new VirtualNet(11, Timing.standard());
+
+    private void start(int count) {
+        IntStream.range(0, count).forEach(net::start);
+        net.pass(MINUTE);
+    }
+
+    /** Whether all that run see the same number of others. */
+    private void assertAllSee(int others) {
+        net.running.values().forEach(swim -> assertThat(swim.present()).as(swim.self().name()).hasSize(others));
+    }
+
+    private long seenAs(String name, State state) {
+        return net.running.values().stream().flatMap(swim -> swim.list().stream())
+                .filter(member -> member.name().equals(name) && member.state() == state).count();
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 3, 40})
+    void allWhoStartFindEachOther(int count) {
+        start(count);
+        assertAllSee(count - 1);
+    }
+
+    @Test
+    void deadOneIsFoundByAllAndNobodyElse() {
+        start(40);
+        net.changes.clear();
+        net.loss = 0.05;
+        net.stop(7);
+        net.pass(MINUTE);
+        assertThat(seenAs("i-7", State.DEAD)).isEqualTo(39);
+        assertThat(net.changes).filteredOn(change -> change.member().state() == State.DEAD)
+                .extracting(change -> change.member().name()).containsOnly("i-7");
+    }
+
+    @Test
+    void whoLeavesIsNeitherSuspectedNorAskedBack() {
+        start(10);
+        net.changes.clear();
+        net.running.get("i-3").leave(net.now);
+        net.pass(MINUTE);
+        assertThat(seenAs("i-3", State.LEFT)).isEqualTo(10);
+        assertThat(net.changes).extracting(change -> change.member().state()).containsOnly(State.LEFT);
+    }
+
+    /** A restart under the same name, before or after the others noticed; word of the former life is overruled. */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 2, 60})
+    void restartUnderTheSameNameIsTakenBackWithItsNewLife(int secondsAway) {
+        start(10);
+        long before = net.running.get("i-4").self().life();
+        net.stop(4);
+        net.pass(Duration.ofSeconds(secondsAway));
+        Swim again = net.start(4);
+        net.pass(MINUTE);
+        assertAllSee(9);
+        net.running.values().forEach(swim -> assertThat(swim.list())
+                .filteredOn(member -> member.name().equals("i-4")).extracting(Member::life)
+                .containsExactly(again.self().life()));
+        assertThat(again.self().life()).isNotEqualTo(before);
+        assertThat(again.self().incarnation()).isPositive();
+    }
+
+    /** A cut through the middle makes each half take the other for dead; healed, all are back. */
+    @Test
+    void partitionHeals() {
+        start(12);
+        net.cut = (from, to) -> from.hashCode() % 2 != to.hashCode() % 2;
+        net.pass(MINUTE.multipliedBy(2));
+        net.running.values().forEach(swim -> assertThat(swim.present()).hasSizeLessThan(11));
+        net.cut = (from, to) -> false;
+        net.pass(MINUTE.multipliedBy(2));
+        assertAllSee(11);
+    }
+
+    /** Only the direct way between two is cut: the others ask for them, and nobody is taken for dead. */
+    @Test
+    void indirectProbesKeepWhoCannotBeReachedDirectly() {
+        start(8);
+        net.changes.clear();
+        net.cut = (from, to) -> from.equals("i-1") && to.equals("i-2") || from.equals("i-2") && to.equals("i-1");
+        net.pass(MINUTE.multipliedBy(5));
+        assertThat(net.changes).extracting(change -> change.member().state()).doesNotContain(State.DEAD);
+        assertAllSee(7);
+    }
+
+    @Test
+    void roomForMembersIsBounded() {
+        Swim swim = net.start(0);
+        IntStream.range(1, 2000).forEach(i -> swim.merge(List.of(new Member("x-" + i, VirtualNet.address(i), i, 1,
+                State.ALIVE)), "x-1", net.now));
+        assertThat(swim.present()).hasSize(Timing.standard().mostMembers());
+        assertThat(swim.turnedAway()).isEqualTo(1999 - Timing.standard().mostMembers());
+    }
+
+    /** Whatever order changes come in, the later incarnation holds, and within one the worse state. */
+    @Test
+    void orderOfNewsDoesNotMatter() {
+        SplittableRandom random = new SplittableRandom(3);
+        for (int round = 0; round < 200; round++) {
+            List<Member> told = new java.util.ArrayList<>(IntStream.range(0, 8).mapToObj(i -> new Member("x",
+                    VirtualNet.address(9), 5, random.nextInt(4), State.values()[random.nextInt(4)])).toList());
+            told.add(0, new Member("x", VirtualNet.address(9), 5, 0, State.ALIVE));
+            Member last = told.stream().reduce((one, other) -> other.overrules(one) ? other : one).orElseThrow();
+            java.util.Collections.shuffle(told.subList(1, told.size()), new Random(round));
+            Swim swim = new VirtualNet(1, Timing.standard()).start(0);
+            swim.merge(told, "y", Instant.EPOCH);
+            assertThat(swim.list().get(1)).isEqualTo(last);
+        }
+    }
+
+    /** Guards against two halves that each take the whole of what a cold node may be sent. */
+    @Test
+    void censusForgetsWhoWasLostLaterThanWhoLeft() {
+        Census census = new Census("b", Duration.ofSeconds(30));
+        List<Member> all = List.of(member("a", State.ALIVE), member("c", State.SUSPECT), member("d", State.ALIVE));
+        assertThat(census.count(all, Instant.EPOCH)).isEqualTo(new Census.Share(1, 4));
+        List<Member> less = List.of(member("a", State.DEAD), member("c", State.ALIVE), member("d", State.LEFT));
+        assertThat(census.count(less, Instant.EPOCH.plusSeconds(29))).isEqualTo(new Census.Share(1, 3));
+        assertThat(census.count(less, Instant.EPOCH.plusSeconds(31))).isEqualTo(new Census.Share(0, 2));
+    }
+
+    private static Member member(String name, State state) {
+        return new Member(name, VirtualNet.address(1), 1, 1, state);
+    }
+
+    /** Numbers as they come, and which of them are fresh. */
+    @ParameterizedTest
+    @CsvSource({"'1,2,3', FFF", "'1,1,2,2', FRFR", "'5,3,4,3', FFFR", "'100,36,37,37', FRFR", "'0,-1', RR",
+        "'9223372036854775807,1', FR"})
+    void numberCountsOnceWithinTheWindow(String numbers, String verdicts) {
+        ReplayGuard guard = new ReplayGuard(8);
+        InetSocketAddress at = VirtualNet.address(1);
+        StringBuilder found = new StringBuilder();
+        for (String number : numbers.split(",")) {
+            found.append(guard.check(at, 7, 8, Long.parseLong(number)).name().charAt(0));
+        }
+        assertThat(found).hasToString(verdicts);
+        assertThat(guard.lifeAt(at)).isEqualTo(verdicts.contains("F") ? 7 : 0);
+        assertThat(guard.check(at, 7, 9, 1000)).isEqualTo(ReplayGuard.Verdict.UNKNOWN_LIFE);
+    }
+}
