--- a/src/main/java/cypressglade/cli/Main.java
+++ b/src/main/java/cypressglade/cli/Main.java
@@ -8,7 +8,7 @@
 import cypressglade.config.Config;
 import cypressglade.config.ConfigException;
 import cypressglade.config.NbdConfigParser;
-import cypressglade.nbd.NbdConfig;
+import cypressglade.config.PeersConfigParser;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStream;
@@ -36,6 +36,9 @@
     @Parameters(commandDescription = "speak the simulator's wire on standard input and output")
     private static final class AdapterCommand { }
 
+    @Parameters(commandDescription = "print a line for a key file of peers, with a key by chance")
+    private static final class NewKeyCommand { }
+
     @Parameters(commandDescription = "print the version")
     private static final class VersionCommand { }
 
@@ -53,9 +56,13 @@
         @Parameter(names = "--nbd", description = "the file of the NBD front; off without it")
         private String nbd = "deploy/nbd.json";
 
+        @Parameter(names = "--peers", description = "the file of the talk with other schedulers; off without")
+        private String peers = "deploy/peers.json";
+
         @Override
-        public Optional<NbdConfig> readNbd(Config scheduler) throws ConfigException {
-            return NbdConfigParser.read(Path.of(nbd), scheduler.settings());
+        public OperatorFiles readFiles(Config scheduler) throws ConfigException {
+            return new OperatorFiles(NbdConfigParser.read(Path.of(nbd), scheduler.settings()),
+                    PeersConfigParser.read(Path.of(peers)));
         }
 
         @Override
@@ -75,8 +82,10 @@
     static int run(String[] args, InputStream in, PrintStream out, PrintStream errors) {
         ServeCommand serve = new ServeCommand();
         CheckConfigCommand check = new CheckConfigCommand();
+        PeersCommand peers = new PeersCommand();
         JCommander commands = JCommander.newBuilder().programName("cypressglade").addCommand("serve", serve)
                 .addCommand("adapter", new AdapterCommand()).addCommand("check-config", check)
+                .addCommand("peers", peers).addCommand("new-key", new NewKeyCommand())
                 .addCommand("version", new VersionCommand()).build();
         try {
             commands.parse(args);
@@ -86,19 +95,29 @@
                     Signals.onHangUp(reload);
                     Config config = serve.read();
                     Rehearsal.play(config);
-                    return serve(new Serve(config, serve.readNbd(config)), reload, out);
+                    return serve(new Serve(config, serve.readFiles(config)), reload, out);
                 }
                 case "adapter" -> {
                     return Adapter.run(in, out, errors);
                 }
                 case "check-config" -> {
                     Config config = check.read();
+                    OperatorFiles files = check.readFiles(config);
                     out.println(config.name() + ": usable; " + config.settings().classes().size()
                             + " classes, " + config.settings().plans().size() + " plans, "
                             + config.known().entries().size() + " nodes known, NBD "
-                            + check.readNbd(config).map(nbd -> "on " + nbd.listen()).orElse("off"));
+                            + files.nbd().map(nbd -> "on " + nbd.listen()).orElse("off") + ", peers "
+                            + files.peers().map(PeersCommand::summary).orElse("off"));
                     return check.start && !starts(config, out) ? FAILED : OK;
                 }
+                case "peers" -> {
+                    peers.run(out);
+                    return OK;
+                }
+                case "new-key" -> {
+                    out.println(PeersCommand.newKey());
+                    return OK;
+                }
                 case "version" -> {
                     out.println("cypressglade " + Optional.ofNullable(
                             Main.class.getPackage().getImplementationVersion()).orElse("(unpacked)"));
@@ -124,7 +143,7 @@
     /** Starts a scheduler beside whatever runs, and asks it for its health and for a request of no node. */
     private static boolean starts(Config config, PrintStream out) throws IOException {
         InetSocketAddress free = new InetSocketAddress("127.0.0.1", 0);
-        try (Serve scheduler = new Serve(config.on(free), Optional.empty())) {
+        try (Serve scheduler = new Serve(config.on(free), OperatorFiles.NONE)) {
             out.println("rehearsed: " + Rehearsal.play(config) + " requests");
             scheduler.start();
             String health = ask(scheduler, "/healthz", "");
@@ -162,6 +181,7 @@
         }, "stop"));
         scheduler.start();
         out.println("listening on " + scheduler.address());
+        scheduler.peerAddress().ifPresent(address -> out.println("peers on " + address));
         scheduler.nbdAddress().ifPresent(address -> out.println("NBD on " + address));
         try {
             Thread.currentThread().join();
--- /dev/null
+++ b/src/main/java/cypressglade/cli/OperatorFiles.java
@@ -0,0 +1,11 @@
+package cypressglade.cli;
+
+import cypressglade.nbd.NbdConfig;
+import cypressglade.peer.PeersConfig;
+import java.util.Optional;
+
+/** What the operator's own files say; each part is off where its file is not there or says so. */
+public record OperatorFiles(Optional<NbdConfig> nbd, Optional<PeersConfig> peers) {
+    /** As on the platform. */
+    public static final OperatorFiles NONE = new OperatorFiles(Optional.empty(), Optional.empty());
+}
--- /dev/null
+++ b/src/main/java/cypressglade/cli/PeersCommand.java
@@ -0,0 +1,153 @@
+package cypressglade.cli;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
+import com.beust.jcommander.Parameters;
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import cypressglade.config.ConfigException;
+import cypressglade.config.PeersConfigParser;
+import cypressglade.learn.Word;
+import cypressglade.member.Member;
+import cypressglade.peer.PeerReport;
+import cypressglade.peer.PeersConfig;
+import cypressglade.peer.PeersConfig.Talk;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.io.StringWriter;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.security.SecureRandom;
+import java.time.Instant;
+import java.util.Comparator;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+
+/** Shows whom a running instance knows, and what it learned, by asking it as a peer does. */
+@Parameters(commandDescription = "show the members that a running scheduler sees, and what it learned")
+final class PeersCommand {
+    private static final int KEY_BYTES = 32;
+
+    @Parameter(names = "--peers", description = "the file of the talk with other schedulers")
+    private String file = "deploy/peers.json";
+
+    @Parameter(names = "--at", description = "ADDRESS:PORT to ask; by default where the file listens")
+    private String at = "";
+
+    @Parameter(names = "--json", description = "print JSON")
+    private boolean json;
+
+    /** A line for {@code check-config}. */
+    static String summary(PeersConfig config) {
+        return config.name() + config.talk().map(talk -> " on " + text(talk.listen()) + " with "
+                + talk.seeds().size() + " seeds").orElse(" alone")
+                + config.snapshots().map(kept -> ", snapshots in " + kept.directory()).orElse("");
+    }
+
+    /** A line of a key file. */
+    static String newKey() {
+        byte[] key = new byte[KEY_BYTES];
+        new SecureRandom().nextBytes(key);
+        return "1 " + HexFormat.of().formatHex(key);
+    }
+
+    void run(PrintStream out) throws ConfigException, IOException {
+        PeersConfig config = PeersConfigParser.read(Path.of(file)).orElseThrow(() -> new ConfigException(
+                file + ": is not there or says \"enabled\": false; without it there are no peers to show"));
+        Talk talk = config.talk().orElseThrow(() -> new ConfigException(
+                file + ": names no \"listen\"; an instance that is alone has no peers to show"));
+        PeerReport report = PeerReport.of(at.isEmpty() ? talk.listen() : address(at), talk.keys());
+        out.print(json ? json(report) : table(report));
+    }
+
+    private static InetSocketAddress address(String text) {
+        int colon = text.lastIndexOf(':');
+        try {
+            return new InetSocketAddress(text.substring(0, Math.max(0, colon)),
+                    Integer.parseInt(text.substring(colon + 1)));
+        } catch (IllegalArgumentException notAnAddress) {
+            throw new ParameterException("--at " + text + " is not ADDRESS:PORT");
+        }
+    }
+
+    private static String text(InetSocketAddress address) {
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
+
+    private static String table(PeerReport report) {
+        StringBuilder table = new StringBuilder(String.format("%-24s %-22s %-8s %s%n", "MEMBER", "ADDRESS",
+                "STATE", "INCARNATION"));
+        for (Member member : report.members()) {
+            table.append(String.format("%-24s %-22s %-8s %d%n", member.name(), text(member.address()),
+                    state(member), member.incarnation()));
+        }
+        table.append(String.format("%n%-24s %-24s %9s %9s %10s %s%n", "NODE", "TOLD BY", "AGE s", "SILENT s",
+                "ms a UNIT", "ANSWERS"));
+        for (Word word : sorted(report.words())) {
+            table.append(String.format(Locale.ROOT, "%-24s %-24s %9.1f %9s %10.2f %d%n", word.node(),
+                    word.origin().name(), seconds(word, report.at()), word.silent()
+                            ? String.format(Locale.ROOT, "%.1f", word.silentFor().toMillis() / 1e3) : "-",
+                    word.paceUs() / 1e3, word.answers()));
+        }
+        table.append(String.format("%n"));
+        for (Map.Entry<String, Long> figure : report.figures().entrySet()) {
+            table.append(String.format("%-24s %d%n", figure.getKey(), figure.getValue()));
+        }
+        return table.toString();
+    }
+
+    private static List<Word> sorted(List<Word> words) {
+        return words.stream().sorted(Comparator.comparing(Word::node)
+                .thenComparing(Word::at, Comparator.reverseOrder())).toList();
+    }
+
+    private static String state(Member member) {
+        return member.state().name().toLowerCase(Locale.ROOT);
+    }
+
+    private static double seconds(Word word, Instant now) {
+        return word.age(now).toMillis() / 1e3;
+    }
+
+    private static String json(PeerReport report) throws IOException {
+        StringWriter text = new StringWriter();
+        try (JsonGenerator out = new JsonFactory().createGenerator(text).useDefaultPrettyPrinter()) {
+            out.writeStartObject();
+            out.writeArrayFieldStart("members");
+            for (Member member : report.members()) {
+                out.writeStartObject();
+                out.writeStringField("name", member.name());
+                out.writeStringField("address", text(member.address()));
+                out.writeStringField("state", state(member));
+                out.writeNumberField("incarnation", member.incarnation());
+                out.writeEndObject();
+            }
+            out.writeEndArray();
+            out.writeArrayFieldStart("learned");
+            for (Word word : sorted(report.words())) {
+                out.writeStartObject();
+                out.writeStringField("node", word.node());
+                out.writeStringField("told_by", word.origin().name());
+                out.writeNumberField("age_s", seconds(word, report.at()));
+                out.writeNumberField("silent_s", word.silentFor().toMillis() / 1e3);
+                out.writeNumberField("us_a_unit", word.paceUs());
+                out.writeNumberField("backlog_us", word.backlogUs());
+                out.writeNumberField("strain", word.strain());
+                out.writeNumberField("errors", word.errors());
+                out.writeNumberField("answers", word.answers());
+                out.writeNumberField("started_us", word.startedUs());
+                out.writeEndObject();
+            }
+            out.writeEndArray();
+            out.writeObjectFieldStart("figures");
+            for (Map.Entry<String, Long> figure : report.figures().entrySet()) {
+                out.writeNumberField(figure.getKey(), figure.getValue());
+            }
+            out.writeEndObject();
+            out.writeEndObject();
+        }
+        return text + System.lineSeparator();
+    }
+}
--- a/src/main/java/cypressglade/cli/Reload.java
+++ b/src/main/java/cypressglade/cli/Reload.java
@@ -3,8 +3,6 @@
 import cypressglade.config.Config;
 import cypressglade.config.ConfigException;
 import cypressglade.core.Counters;
-import cypressglade.nbd.NbdConfig;
-import java.util.Optional;
 
 /** The one owner of a reload: reads the files again and hands them on whole, or changes nothing. */
 final class Reload implements Runnable {
@@ -18,7 +16,7 @@
     interface Source {
         Config read() throws ConfigException;
 
-        Optional<NbdConfig> readNbd(Config scheduler) throws ConfigException;
+        OperatorFiles readFiles(Config scheduler) throws ConfigException;
     }
 
     Reload(Source source) {
@@ -41,7 +39,7 @@
         }
         try {
             Config next = source.read();
-            scheduler.use(next, source.readNbd(next));
+            scheduler.use(next, source.readFiles(next));
             scheduler.counters().add(Counters.Name.RELOADS);
             LOG.log(System.Logger.Level.INFO, "reloaded: discovery at {0}", next.discovery());
         } catch (ConfigException unusable) {
--- a/src/main/java/cypressglade/cli/Serve.java
+++ b/src/main/java/cypressglade/cli/Serve.java
@@ -11,11 +11,11 @@
 import cypressglade.http.ClientListener;
 import cypressglade.http.DiscoveryWatch;
 import cypressglade.http.NodeClient;
-import cypressglade.nbd.NbdConfig;
 import cypressglade.nbd.NbdListener;
 import cypressglade.nbd.NbdNodeLink;
 import cypressglade.net.Loop;
 import cypressglade.net.NodePool;
+import cypressglade.peer.Peers;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
@@ -46,9 +46,10 @@
     private final DiscoveryWatch discovery;
     private final Optional<NbdNodeLink> nbdNodes;
     private final Optional<NbdListener> blockClients;
+    private final Optional<Peers> peers;
     private volatile boolean ready;
 
-    public Serve(Config config, Optional<NbdConfig> nbd) throws IOException {
+    public Serve(Config config, OperatorFiles files) throws IOException {
         this.config = config;
         loop = new Loop();
         NodeDirectory directory = new NodeDirectory();
@@ -57,7 +58,7 @@
         connections = new NodePool(loop, directory, counters, config.connectTimeout(),
                 config.idleLimit(), config.budget().nodeConnections());
         nodes = new NodeClient(connections, config.budget().answerBytes());
-        nbdNodes = nbd.map(front -> new NbdNodeLink(connections, front));
+        nbdNodes = files.nbd().map(front -> new NbdNodeLink(connections, front));
         engine.start(node -> nbdNodes.isPresent() && nbdNodes.get().speaksTo(directory.ready(node))
                 ? nbdNodes.get() : nodes);
         engine.told(config.known());
@@ -66,29 +67,40 @@
         discovery.start();
         clients = new ClientListener(loop, config.settings(), engine, counters, pool, nodes, () -> ready,
                 config.budget());
-        blockClients = nbd.isEmpty() ? Optional.empty() : Optional.of(new NbdListener(loop, nbd.get(),
-                config.settings(), engine, directory, counters, pool, nbdNodes.get()));
+        blockClients = files.nbd().isEmpty() ? Optional.empty() : Optional.of(new NbdListener(loop,
+                files.nbd().get(), config.settings(), engine, directory, counters, pool, nbdNodes.get()));
+        peers = files.peers().map(file -> new Peers(file, loop, engine, counters));
     }
 
-    /** Opens the doors. Whoever stops the program must be able to from here on. */
+    /**
+     * Learns from peers for a bounded time, and opens the doors. Whoever stops the program must be able to
+     * from here on.
+     */
     public void start() throws IOException {
+        if (peers.isPresent()) {
+            peers.get().start();
+        }
         clients.start(config.listen());
         ready = true;
     }
 
     /** Takes a new configuration: each part is handed its own values whole, and what is open goes on. */
-    public void use(Config next, Optional<NbdConfig> nbd) {
+    public void use(Config next, OperatorFiles files) {
         engine.use(next.settings());
         clients.use(next.settings(), next.budget());
         pool.use(next.budget().requests());
         nodes.use(next.budget().answerBytes());
         connections.use(next.connectTimeout(), next.idleLimit(), next.budget().nodeConnections());
         discovery.use(next.discovery(), next.nodeLists());
-        if (nbd.isPresent() && blockClients.isPresent()) {
-            nbdNodes.get().use(nbd.get());
-            blockClients.get().use(nbd.get(), next.settings());
+        if (files.nbd().isPresent() && blockClients.isPresent()) {
+            nbdNodes.get().use(files.nbd().get());
+            blockClients.get().use(files.nbd().get(), next.settings());
         }
-        if (!next.listen().equals(config.listen()) || nbd.isPresent() != blockClients.isPresent()
+        if (files.peers().isPresent() && peers.isPresent()) {
+            peers.get().use(files.peers().get());
+        }
+        if (!next.listen().equals(config.listen()) || files.nbd().isPresent() != blockClients.isPresent()
+                || files.peers().isPresent() != peers.isPresent()
                 || next.budget().memoryMb() != config.budget().memoryMb()) {
             LOG.log(System.Logger.Level.WARNING, "listeners and the heap change with a restart only");
         }
@@ -103,6 +115,11 @@
         return blockClients.map(NbdListener::address);
     }
 
+    /** Where other instances reach this one, once it has started. */
+    public Optional<InetSocketAddress> peerAddress() {
+        return peers.flatMap(Peers::address);
+    }
+
     public Counters counters() {
         return counters;
     }
@@ -130,10 +147,12 @@
             Thread.sleep(LOOK.toMillis());
         }
         Thread.sleep(SETTLE.toMillis());
+        peers.ifPresent(Peers::close);
     }
 
     @Override
     public void close() {
+        peers.ifPresent(Peers::close);
         clients.close();
         blockClients.ifPresent(NbdListener::close);
         pool.close();
--- /dev/null
+++ b/src/main/java/cypressglade/config/PeersConfigParser.java
@@ -0,0 +1,113 @@
+package cypressglade.config;
+
+import cypressglade.peer.KeyRing;
+import cypressglade.peer.PeersConfig;
+import cypressglade.peer.PeersConfig.Snapshots;
+import cypressglade.peer.PeersConfig.Talk;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Reads {@code deploy/peers.json}: nothing where the file is not there or says that it is off. Paths in it
+ * are taken from the file's own directory.
+ */
+public final class PeersConfigParser {
+    private static final int MOST_SEEDS = 16;
+    private static final int MOST_NODES = 4096;
+    private static final int MOST_NAME = 64;
+    private static final long MOST_WAIT_MS = 2000;
+    private static final long MOST_SPAN_S = 86_400;
+
+    private final Values values;
+    private final Path directory;
+
+    private PeersConfigParser(Values values, Path directory) {
+        this.values = values;
+        this.directory = directory;
+    }
+
+    /** Reads the file and the key file that it names. */
+    public static Optional<PeersConfig> read(Path path) throws ConfigException {
+        if (!Files.exists(path)) {
+            return Optional.empty();
+        }
+        byte[] text = Config.bytes(path);
+        Values values = new Values(path.toString(), JsonValues.read(path.toString(), text, 0, text.length));
+        return switch (values.text("enabled")) {
+            case "true" -> Optional.of(new PeersConfigParser(values, path.toAbsolutePath().getParent())
+                    .config());
+            case "false" -> Optional.empty();
+            default -> throw values.bad("enabled", "is neither true nor false");
+        };
+    }
+
+    private PeersConfig config() throws ConfigException {
+        String name = values.text("name");
+        if (!name.matches("[A-Za-z0-9._-]{1," + MOST_NAME + "}")) {
+            throw values.bad("name", "is not 1 to " + MOST_NAME
+                    + " letters, digits, dots, dashes or underscores");
+        }
+        Optional<Talk> talk = values.text("listen", "").isEmpty() ? Optional.empty() : Optional.of(talk());
+        Optional<Snapshots> snapshots = values.text("snapshot_dir", "").isEmpty() ? Optional.empty()
+                : Optional.of(snapshots());
+        if (talk.isEmpty() && snapshots.isEmpty()) {
+            throw values.bad("enabled", "is true, but there is neither listen nor snapshot_dir");
+        }
+        return new PeersConfig(name, talk, snapshots, (int) whole("most_nodes", 1, MOST_NODES, 1024),
+                Duration.ofMillis(whole("start_wait_ms", 0, MOST_WAIT_MS, 200)));
+    }
+
+    private Talk talk() throws ConfigException {
+        InetSocketAddress listen = values.address("listen");
+        Optional<InetSocketAddress> advertised = values.text("advertise", "").isEmpty() ? Optional.empty()
+                : Optional.of(values.address("advertise"));
+        if (advertised.isEmpty() && listen.getAddress().isAnyLocalAddress()) {
+            throw values.bad("advertise",
+                    "is missing, and listen is every address: say where others reach this");
+        }
+        List<InetSocketAddress> seeds = new ArrayList<>();
+        for (String seed : values.text("seeds", "").split(",")) {
+            if (!seed.isBlank()) {
+                seeds.add(values.address("seeds", seed));
+            }
+        }
+        if (seeds.size() > MOST_SEEDS) {
+            throw values.bad("seeds", "are more than " + MOST_SEEDS);
+        }
+        Path keyFile = directory.resolve(values.text("key_file"));
+        try {
+            return new Talk(listen, advertised, List.copyOf(seeds), keyFile, KeyRing.read(keyFile),
+                    Duration.ofSeconds(whole("refresh_s", 1, MOST_SPAN_S, 5)), flag("share_cold", true));
+        } catch (IOException unusable) {
+            throw values.bad("key_file", "cannot be used: " + unusable.getMessage());
+        }
+    }
+
+    private Snapshots snapshots() throws ConfigException {
+        Path kept = directory.resolve(values.text("snapshot_dir"));
+        if (!Files.isDirectory(kept) || !Files.isWritable(kept)) {
+            throw values.bad("snapshot_dir", "is no directory that this program may write to; make it with: "
+                    + "mkdir -p -m 700 " + kept);
+        }
+        return new Snapshots(kept, Duration.ofSeconds(whole("snapshot_every_s", 1, MOST_SPAN_S, 10)),
+                Duration.ofSeconds(whole("snapshot_most_age_s", 1, MOST_SPAN_S, 120)));
+    }
+
+    private long whole(String path, long least, long most, long otherwise) throws ConfigException {
+        return values.text(path, "").isEmpty() ? otherwise : values.whole(path, least, most);
+    }
+
+    private boolean flag(String path, boolean otherwise) throws ConfigException {
+        return switch (values.text(path, Boolean.toString(otherwise))) {
+            case "true" -> true;
+            case "false" -> false;
+            default -> throw values.bad(path, "is neither true nor false");
+        };
+    }
+}
--- a/src/main/java/cypressglade/core/Brain.java
+++ b/src/main/java/cypressglade/core/Brain.java
@@ -253,6 +253,9 @@
         }
         node.coldFrom = Math.max(node.coldFrom, Math.min(now, hint.startedUs()));
         if (node.out.isEmpty() && (node.seenAt == Long.MIN_VALUE || now - node.seenAt > FORGET_US)) {
+            if (!node.guarded) { // where it is cold, those who know it may have spent this window
+                node.coldSends.add(new double[] {now, node.coldRoom(now)});
+            }
             node.heardAt = now;
             node.pace = hint.paceUs();
             node.backlog = hint.backlogUs();
--- a/src/main/java/cypressglade/core/Counters.java
+++ b/src/main/java/cypressglade/core/Counters.java
@@ -12,7 +12,10 @@
         TAKEN, MALFORMED, REFUSED_NO_ROOM, GONE, ANSWERED_SERVED, ANSWERED_REFUSED, ANSWERED_FAILED,
         ANSWERED_BY_DEADLINE, SENT, ENDED_OK, ENDED_ERROR, ENDED_FULL, ENDED_TIMEOUT, ENDED_CONNECT_FAILED,
         ENDED_RESET, ENDED_CANCELLED, ENDED_MOOT, HELD_BACK_AT_NODE, SPOILT, STRAY_BYTES, PROBES,
-        CONNECTIONS_OPENED, LISTS, WATCH_BROKEN, RELOADS, RELOADS_REJECTED, MODULE_FAULTS
+        CONNECTIONS_OPENED, LISTS, WATCH_BROKEN, RELOADS, RELOADS_REJECTED, MODULE_FAULTS,
+        HINTS_TAKEN, HINTS_AGED_OUT, HINTS_CONFIRMED, HINTS_CONTRADICTED, WORDS_TAKEN, WORDS_REFUSED,
+        PEER_MESSAGES, PEER_REFUSED, PEER_DROPPED, TRANSFERS_SERVED, TRANSFERS_TAKEN, TRANSFERS_BROKEN,
+        SNAPSHOTS_WRITTEN, SNAPSHOTS_FAILED, SNAPSHOTS_IGNORED
     }
 
     private final Map<Name, LongAdder> counts = new EnumMap<>(Name.class);
@@ -27,6 +30,10 @@
         counts.get(name).increment();
     }
 
+    public void add(Name name, long count) {
+        counts.get(name).add(count);
+    }
+
     /** Counts how an attempt ended. */
     public void ended(Scheduler.Status status) {
         add(Name.valueOf("ENDED_" + status.name()));
--- a/src/main/java/cypressglade/learn/Learner.java
+++ b/src/main/java/cypressglade/learn/Learner.java
@@ -107,11 +107,18 @@
             NodeView view = fact.view();
             String id = fact.known().id();
             Word before = own.get(id);
+            Instant since = silentSince.get(id);
             if (!view.guarded() && view.silent()) {
-                Instant since = silentSince.getOrDefault(id, now);
+                since = since == null ? now : since;
                 stillSilent.put(id, since);
                 Duration silentFor = Duration.between(since, now).plusMillis(1);
                 words.put(id, Word.own(id, view, silentFor, now, self));
+            } else if (since != null && before != null && before.startedUs() == view.startedUs()
+                    && (view.seenAgoUs() < 0 || now.minusNanos(view.seenAgoUs() * 1000).isBefore(before.at()))) {
+                // The module holds a node for silent only while something is out there. Until a sign of life
+                // comes the word stands, at the age of what it was seen by.
+                stillSilent.put(id, since);
+                words.put(id, before);
             } else if (!view.guarded() && view.answeredAgoUs() >= 0) {
                 Duration ago = Duration.ofNanos(view.answeredAgoUs() * 1000);
                 boolean fresh = ago.compareTo(FRESH) <= 0;
--- a/src/main/java/cypressglade/net/Loop.java
+++ b/src/main/java/cypressglade/net/Loop.java
@@ -118,6 +118,11 @@
                         .set(Options.BACKLOG, BACKLOG).getMap()));
     }
 
+    /** Opens a UDP socket. */
+    public Datagrams datagrams(InetSocketAddress address, Datagrams.Receiver receiver) throws IOException {
+        return new Datagrams(worker, address, receiver);
+    }
+
     @Override
     public void close() {
         worker.shutdownNow();
--- /dev/null
+++ b/src/main/java/cypressglade/peer/Peers.java
@@ -0,0 +1,527 @@
+package cypressglade.peer;
+
+import cypressglade.core.Counters;
+import cypressglade.core.Counters.Name;
+import cypressglade.core.Engine;
+import cypressglade.core.NodeFact;
+import cypressglade.core.Time;
+import cypressglade.learn.Learner;
+import cypressglade.learn.Origin;
+import cypressglade.learn.Word;
+import cypressglade.member.Census;
+import cypressglade.member.Member;
+import cypressglade.member.Message;
+import cypressglade.member.ReplayGuard;
+import cypressglade.member.Swim;
+import cypressglade.member.Timing;
+import cypressglade.net.Datagrams;
+import cypressglade.net.Loop;
+import cypressglade.snapshot.SnapshotStore;
+import java.io.IOException;
+import java.lang.System.Logger.Level;
+import java.net.InetSocketAddress;
+import java.security.SecureRandom;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/**
+ * What this instance has to do with others, and with its own former life. One thread owns the membership,
+ * what was learned, and the replay guard; the I/O thread only hands over bytes, and a second thread writes
+ * snapshots, as a slow disk must not look like a dead instance.
+ */
+public final class Peers implements AutoCloseable {
+    private static final System.Logger LOG = System.getLogger(Peers.class.getName());
+    private static final Duration LOOK = Duration.ofMillis(250); // a silence of one request lasts longer
+    private static final Duration CENSUS_HOLD = Duration.ofSeconds(30);
+    private static final Duration STOP_WAIT = Duration.ofMillis(500);
+    private static final int MOST_WAITING = 256;
+    private static final int MOST_PULLS = 3;
+    private static final int WORDS_A_NODE = 3;
+    private static final int WORDS_A_FRAME = 200;
+    private static final int MEMBERS_A_FRAME = 200;
+    private static final int BIND_TRIES = 8;
+    private static final int MOST_HELD = 64;
+    private static final int MOST_SHORT_ANSWERS = 50; // a second: to unknown lives and versions
+
+    private final PeersConfig config;
+    private final Loop loop;
+    private final Engine engine;
+    private final Counters counters;
+    private final SecureRandom random = new SecureRandom();
+    private final ScheduledExecutorService owner = Executors.newSingleThreadScheduledExecutor(
+            task -> daemon(task, "peers"));
+    private final ScheduledExecutorService disk = Executors.newSingleThreadScheduledExecutor(
+            task -> daemon(task, "snapshots"));
+    private final AtomicInteger waiting = new AtomicInteger();
+    private final AtomicBoolean closing = new AtomicBoolean();
+    private final CountDownLatch learned = new CountDownLatch(1);
+    private final Optional<SnapshotStore> store;
+    private volatile KeyRing keys;
+
+    // The owner's alone, from the start on.
+    private final long life;
+    private final Learner learner;
+    private final ReplayGuard guard;
+    private final Map<Learner.Count, Long> told = new EnumMap<>(Learner.Count.class);
+    private final Set<InetSocketAddress> pulls = new HashSet<>();
+    private final Map<InetSocketAddress, Message> held = new LinkedHashMap<>();
+    private final Set<Sealed.Fault> logged = new HashSet<>();
+    private Census census;
+    private Census.Share share = new Census.Share(0, 1);
+    private Swim swim;
+    private Datagrams datagrams;
+    private TransferServer transfers;
+    private TransferClient client;
+    private int shortAnswers;
+    private boolean closed;
+
+    public Peers(PeersConfig config, Loop loop, Engine engine, Counters counters) {
+        this.config = config;
+        this.loop = loop;
+        this.engine = engine;
+        this.counters = counters;
+        long drawn = random.nextLong();
+        life = drawn == 0 ? 1 : drawn; // 0 stands for a life that is not known
+        learner = new Learner(new Origin(config.name(), life), config.mostNodes());
+        guard = new ReplayGuard(life);
+        store = config.snapshots().map(kept -> new SnapshotStore(kept.directory(), "learned"));
+        keys = config.talk().map(PeersConfig.Talk::keys).orElse(null);
+    }
+
+    private static Thread daemon(Runnable task, String name) {
+        Thread thread = new Thread(task, name);
+        thread.setDaemon(true);
+        return thread;
+    }
+
+    /**
+     * Reads the snapshot, opens the port and asks the seeds; returns once something was learned, or after the
+     * bound of the configuration.
+     *
+     * @throws IOException where the port cannot be had
+     */
+    public void start() throws IOException {
+        recall();
+        if (config.talk().isPresent()) {
+            open(config.talk().get());
+        } else {
+            learned.countDown();
+        }
+        owner.scheduleWithFixedDelay(guarded(this::look), 0, LOOK.toMillis(), TimeUnit.MILLISECONDS);
+        config.snapshots().ifPresent(kept -> owner.scheduleWithFixedDelay(guarded(() -> {
+            byte[] body = body();
+            disk.execute(() -> write(body));
+        }), kept.every().toMillis(), kept.every().toMillis(), TimeUnit.MILLISECONDS));
+        try {
+            learned.await(config.startWait().toMillis(), TimeUnit.MILLISECONDS);
+        } catch (InterruptedException stopped) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Where others reach this instance. */
+    public Optional<InetSocketAddress> address() {
+        return Optional.ofNullable(transfers).map(TransferServer::address);
+    }
+
+    /** Takes the keys of a new configuration; the rest of it changes with a restart. */
+    public void use(PeersConfig next) {
+        next.talk().ifPresent(talk -> keys = talk.keys());
+        if (!next.name().equals(config.name()) || next.talk().isPresent() != config.talk().isPresent()) {
+            LOG.log(Level.WARNING, "of the peers' file, keys alone change without a restart");
+        }
+    }
+
+    /** Leaves in order and writes a last snapshot; waits a moment for both. */
+    @Override
+    public void close() {
+        if (!closing.compareAndSet(false, true)) {
+            return;
+        }
+        CountDownLatch done = new CountDownLatch(1);
+        execute(() -> {
+            closed = true;
+            if (swim != null) {
+                swim.leave(Time.now());
+            }
+            byte[] body = body();
+            disk.execute(() -> {
+                write(body);
+                done.countDown();
+            });
+        });
+        try {
+            done.await(STOP_WAIT.toMillis(), TimeUnit.MILLISECONDS);
+        } catch (InterruptedException cut) {
+            Thread.currentThread().interrupt();
+        }
+        owner.shutdownNow();
+        disk.shutdown();
+        if (transfers != null) {
+            transfers.close();
+            datagrams.close();
+        }
+    }
+
+    // ---- the owner's thread
+
+    private void execute(Runnable task) {
+        try {
+            owner.execute(guarded(task));
+        } catch (RejectedExecutionException closing) {
+            LOG.log(Level.DEBUG, "peers are closed", closing);
+        }
+    }
+
+    /** A fault in one event must not end those to come. */
+    private Runnable guarded(Runnable task) {
+        return () -> {
+            try {
+                task.run();
+            } catch (RuntimeException fault) {
+                LOG.log(Level.ERROR, "peers", fault);
+            }
+        };
+    }
+
+    private void open(PeersConfig.Talk talk) throws IOException {
+        bind(talk.listen());
+        InetSocketAddress at = talk.advertised().orElse(transfers.address());
+        client = new TransferClient(loop, this::execute, random, () -> keys);
+        census = new Census(config.name(), CENSUS_HOLD);
+        Instant now = Time.now();
+        swim = new Swim(new Member(config.name(), at, life, 0, Member.State.ALIVE), talk.seeds(),
+                Timing.standard(), random, new Wiring(), now);
+        execute(() -> {
+            talk.seeds().stream().filter(seed -> !seed.equals(at)).forEach(this::pull);
+            if (pulls.isEmpty()) {
+                learned.countDown(); // nobody to learn from
+            }
+            tick();
+        });
+        owner.scheduleWithFixedDelay(guarded(this::refresh), talk.refresh().toMillis(),
+                talk.refresh().toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    /** Both sockets have one port; where it is any, the one that TCP got may be taken on UDP. */
+    private void bind(InetSocketAddress listen) throws IOException {
+        for (int i = 1; transfers == null; i++) {
+            TransferServer server = new TransferServer(loop, listen, random, this::asked);
+            try {
+                datagrams = loop.datagrams(server.address(), this::received);
+                transfers = server;
+            } catch (IOException taken) {
+                server.close();
+                if (listen.getPort() != 0 || i >= BIND_TRIES) {
+                    throw new IOException("peers: cannot listen on " + listen + " (UDP): "
+                            + taken.getMessage(), taken);
+                }
+            }
+        }
+    }
+
+    private void tick() {
+        Instant now = Time.now();
+        swim.tick(now);
+        shortAnswers = Math.max(0, shortAnswers - 1);
+        if (!closed) {
+            long wait = Math.max(1, Time.until(swim.due()).toMillis());
+            owner.schedule(guarded(this::tick), wait, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** Asks the module what it knows, and tells it what it does not. */
+    private void look() {
+        shortAnswers = 0;
+        engine.views(facts -> execute(() -> seen(facts)));
+        recount();
+    }
+
+    /** Told at once when somebody comes: from then on each may send a cold node its part only. */
+    private void recount() {
+        if (swim != null && config.talk().get().shareCold()) {
+            Census.Share next = census.count(swim.list(), Time.now());
+            if (!next.equals(share)) {
+                share = next;
+                engine.share(next.rank(), next.heads());
+            }
+        }
+    }
+
+    private void seen(List<NodeFact> facts) {
+        Instant now = Time.now();
+        learner.own(facts, now);
+        learner.hints(facts, now).forEach(taught -> engine.hint(taught.node(), taught::hint));
+        publish();
+    }
+
+    private void publish() {
+        for (Learner.Count count : Learner.Count.values()) {
+            long more = learner.count(count) - told.getOrDefault(count, 0L);
+            told.put(count, learner.count(count));
+            switch (count) {
+                case HINTS_TAKEN -> counters.add(Name.HINTS_TAKEN, more);
+                case HINTS_CONFIRMED -> counters.add(Name.HINTS_CONFIRMED, more);
+                case HINTS_CONTRADICTED -> counters.add(Name.HINTS_CONTRADICTED, more);
+                case WORDS_AGED_OUT -> counters.add(Name.HINTS_AGED_OUT, more);
+                case WORDS_TAKEN -> counters.add(Name.WORDS_TAKEN, more);
+                case WORDS_REFUSED, WORDS_NO_ROOM -> counters.add(Name.WORDS_REFUSED, more);
+                default -> { }
+            }
+        }
+    }
+
+    // ---- transfers
+
+    private void refresh() {
+        List<Member> present = swim.present();
+        if (!present.isEmpty()) {
+            pull(present.get(random.nextInt(present.size())).address());
+        }
+    }
+
+    private void pull(InetSocketAddress from) {
+        if (closed || pulls.size() >= MOST_PULLS || !pulls.add(from)) {
+            return;
+        }
+        client.pull(from, config.mostNodes() * WORDS_A_NODE, new TransferClient.Listener() {
+            @Override
+            public List<Member> members() {
+                return swim.list().stream().limit(MEMBERS_A_FRAME).toList();
+            }
+
+            @Override
+            public void came(Transfer frame) {
+                swim.merge(frame.members(), "", Time.now());
+                learner.take(frame.words(), Time.now());
+                publish();
+            }
+
+            @Override
+            public void over(String fault) {
+                pulls.remove(from);
+                counters.add(fault.isEmpty() ? Name.TRANSFERS_TAKEN : Name.TRANSFERS_BROKEN);
+                LOG.log(Level.DEBUG, "transfer from {0}: {1}", from, fault);
+                // What came goes to the module before the doors open: its events are taken in order.
+                engine.views(facts -> execute(() -> {
+                    seen(facts);
+                    learned.countDown();
+                }));
+            }
+        });
+    }
+
+    /** On the I/O thread. */
+    private void asked(byte[] question, long nonce, TransferServer.Reply reply) {
+        if (waiting.incrementAndGet() > MOST_WAITING) {
+            waiting.decrementAndGet();
+            counters.add(Name.PEER_DROPPED);
+            reply.accept(List.of());
+            return;
+        }
+        execute(() -> {
+            waiting.decrementAndGet();
+            reply.accept(answer(question, nonce));
+        });
+    }
+
+    private List<byte[]> answer(byte[] question, long nonce) {
+        Instant now = Time.now();
+        try {
+            Transfer asked = Codec.transfer(Sealed.open(keys, question), now);
+            if (asked.nonce() != nonce) {
+                throw new Sealed.Refused(Sealed.Fault.REPLAYED);
+            }
+            swim.merge(asked.members(), "", now);
+            counters.add(Name.TRANSFERS_SERVED);
+            return answer(asked, now);
+        } catch (Sealed.Refused refused) {
+            refused(refused.fault());
+            return refused.fault() == Sealed.Fault.VERSION ? List.of(Sealed.no()) : List.of();
+        } catch (IOException unreadable) {
+            refused(Sealed.Fault.BODY);
+            return List.of();
+        }
+    }
+
+    private List<byte[]> answer(Transfer asked, Instant now) {
+        List<Member> members = swim.list();
+        List<Word> words = learner.words(now,
+                Math.min(Math.min(Codec.MOST_WORDS, asked.index()), config.mostNodes() * WORDS_A_NODE));
+        int frames = Math.max(1, Math.max((members.size() + MEMBERS_A_FRAME - 1) / MEMBERS_A_FRAME,
+                (words.size() + WORDS_A_FRAME - 1) / WORDS_A_FRAME));
+        List<byte[]> answer = new ArrayList<>();
+        for (int i = 0; i < frames; i++) {
+            answer.add(Sealed.seal(keys, Codec.bytes(new Transfer(asked.ask(), 0, i, i == frames - 1,
+                    part(members, i, MEMBERS_A_FRAME), part(words, i, WORDS_A_FRAME),
+                    i == 0 ? figures() : Map.of()), now)));
+        }
+        return answer;
+    }
+
+    private static <T> List<T> part(List<T> all, int number, int size) {
+        return all.subList(Math.min(all.size(), number * size), Math.min(all.size(), (number + 1) * size));
+    }
+
+    private Map<String, Long> figures() {
+        Map<String, Long> figures = new LinkedHashMap<>();
+        for (Learner.Count count : Learner.Count.values()) {
+            figures.put(count.name().toLowerCase(Locale.ROOT), learner.count(count));
+        }
+        figures.put("words_kept", (long) learner.kept());
+        figures.put("shares_cold_among", (long) share.heads());
+        figures.put("name_conflicts", swim.conflicts());
+        figures.put("members_turned_away", swim.turnedAway());
+        return figures;
+    }
+
+    // ---- datagrams
+
+    /** On the I/O thread. */
+    private void received(InetSocketAddress from, byte[] datagram) {
+        if (waiting.incrementAndGet() > MOST_WAITING) { // bounds memory under a flood
+            waiting.decrementAndGet();
+            counters.add(Name.PEER_DROPPED);
+            return;
+        }
+        execute(() -> {
+            waiting.decrementAndGet();
+            take(from, datagram);
+        });
+    }
+
+    private void take(InetSocketAddress from, byte[] datagram) {
+        counters.add(Name.PEER_MESSAGES);
+        try {
+            if (datagram.length > Datagrams.MOST_BYTES) {
+                throw new Sealed.Refused(Sealed.Fault.BODY);
+            }
+            Envelope envelope = Codec.envelope(Sealed.open(keys, datagram));
+            switch (guard.check(from, envelope.from(), envelope.to(), envelope.number())) {
+                case FRESH -> {
+                    Message kept = held.remove(from);
+                    if (kept != null) {
+                        put(from, kept);
+                    }
+                    if (envelope.message().isPresent()) {
+                        swim.receive(envelope.message().get(), from, Time.now());
+                    }
+                }
+                case UNKNOWN_LIFE -> {
+                    if (envelope.message().isPresent()) { // or two would tell each other without end
+                        answerShortly(from, Sealed.seal(keys, Codec.bytes(new Envelope(life, envelope.from(),
+                                guard.next(), Optional.empty()))));
+                    }
+                }
+                default -> throw new Sealed.Refused(Sealed.Fault.REPLAYED);
+            }
+        } catch (Sealed.Refused refused) {
+            refused(refused.fault());
+            if (refused.fault() == Sealed.Fault.VERSION) {
+                answerShortly(from, Sealed.no());
+            }
+        } catch (IOException unreadable) {
+            refused(Sealed.Fault.BODY);
+        }
+    }
+
+    private void answerShortly(InetSocketAddress to, byte[] answer) {
+        if (shortAnswers++ < MOST_SHORT_ANSWERS) {
+            datagrams.send(to, answer);
+        }
+    }
+
+    private void refused(Sealed.Fault fault) {
+        counters.add(Name.PEER_REFUSED);
+        if (logged.add(fault)) { // a flood must not fill the log: each kind once
+            LOG.log(Level.WARNING, "a message is refused and counted: {0}", fault);
+        }
+    }
+
+    private void put(InetSocketAddress to, Message message) {
+        datagrams.send(to, Sealed.seal(keys, Codec.bytes(new Envelope(life, guard.lifeAt(to), guard.next(),
+                Optional.of(message)))));
+    }
+
+    /** What the membership orders. */
+    private final class Wiring implements Swim.Out {
+        @Override
+        public void send(InetSocketAddress to, Message message) {
+            if (guard.lifeAt(to) == 0 && (held.size() < MOST_HELD || held.containsKey(to))) {
+                held.put(to, message); // it will be turned away and is sent again when the life is known
+            }
+            put(to, message);
+        }
+
+        @Override
+        public void exchange(InetSocketAddress with) {
+            pull(with);
+        }
+
+        @Override
+        public void changed(Member member) {
+            recount();
+            LOG.log(Level.INFO, "member {0} at {1}: {2}", member.name(), member.address(), member.state());
+        }
+    }
+
+    // ---- snapshots
+
+    private byte[] body() {
+        return Codec.snapshot(config.name(), learner.words(Time.now(), Codec.MOST_WORDS), Time.now());
+    }
+
+    private void write(byte[] body) {
+        if (store.isPresent()) {
+            try {
+                store.get().write(body, Instant.now());
+                counters.add(Name.SNAPSHOTS_WRITTEN);
+            } catch (IOException failed) {
+                counters.add(Name.SNAPSHOTS_FAILED);
+                LOG.log(Level.WARNING, "snapshot not written: {0}", failed.toString());
+            }
+        }
+    }
+
+    /** Before anything else runs. */
+    private void recall() {
+        if (store.isEmpty()) {
+            return;
+        }
+        for (SnapshotStore.Found found : store.get().read(Instant.now(),
+                config.snapshots().get().mostAge())) {
+            String fault = found.fault().name();
+            if (found.fault() == SnapshotStore.Fault.NONE) {
+                try {
+                    Optional<List<Word>> words = Codec.snapshot(found.body(), config.name(), found.age(),
+                            Time.now());
+                    if (words.isPresent()) {
+                        learner.take(words.get(), Time.now());
+                        return;
+                    }
+                    fault = "another instance's";
+                } catch (IOException unreadable) {
+                    fault = unreadable.getMessage();
+                }
+            }
+            counters.add(Name.SNAPSHOTS_IGNORED);
+            LOG.log(Level.WARNING, "{0} is ignored: {1}", found.file(), fault);
+        }
+    }
+}
--- a/src/test/java/cypressglade/learn/LearnerTest.java
+++ b/src/test/java/cypressglade/learn/LearnerTest.java
@@ -121,6 +121,17 @@
         assertThat(restarted.take(learner.words(NOW.plusSeconds(3), 10), NOW.plusSeconds(3))).isEqualTo(1);
     }
 
+    /** Guards against a node that was drained, or left the list, while word of it was on its way. */
+    @Test
+    void nodesThatMayNotBeUsedAreNotTaughtOf() {
+        learner.take(List.of(word(OTHER, true, 0, Duration.ZERO)), NOW);
+        NodeView view = unseen().view();
+        NodeView drained = new NodeView(1, 0, false, false, false, 0, view.paceUs(), 0, 0.3, 0, 0, -1, -1, 0, 32, 0, 0);
+        assertThat(hints(new NodeFact(unseen().known(), drained))).isEmpty();
+        assertThat(learner.hints(List.of(), NOW)).isEmpty();
+        assertThat(hints(unseen())).hasSize(1);
+    }
+
     @Test
     void whatTheModuleHasByHearsayIsNeverToldOn() {
         learner.own(List.of(fact(true, true, 0, PACE, 0, null)), NOW);
@@ -131,6 +142,17 @@
                 .extracting(Word::silentFor).isEqualTo(Duration.ofMillis(3001));
     }
 
+    /** Guards against silence that is forgotten when the last attempt there has timed out. */
+    @Test
+    void silenceStandsUntilASignOfLifeAndAges() {
+        learner.own(List.of(fact(false, true, 0, PACE, 0, Duration.ofSeconds(3))), NOW);
+        learner.own(List.of(fact(false, false, 0, PACE, 0, Duration.ofSeconds(5))), NOW.plusSeconds(2));
+        assertThat(learner.words(NOW.plusSeconds(2), 10)).singleElement().matches(Word::silent)
+                .extracting(Word::at).isEqualTo(NOW);
+        learner.own(List.of(fact(false, false, 0, PACE, 9, Duration.ofMillis(10))), NOW.plusSeconds(3));
+        assertThat(learner.words(NOW.plusSeconds(3), 10)).singleElement().matches(word -> !word.silent());
+    }
+
     /** Guards against views that are already drawn to the average, told as what was learned. */
     @Test
     void ownWordKeepsWhatItsLastAnswersTold() {
--- /dev/null
+++ b/src/test/java/cypressglade/peer/CodecTest.java
@@ -0,0 +1,168 @@
+package cypressglade.peer;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.dataformat.cbor.CBORFactory;
+import cypressglade.learn.Origin;
+import cypressglade.learn.Word;
+import cypressglade.member.Member;
+import cypressglade.member.Member.State;
+import cypressglade.member.Message;
+import cypressglade.member.Message.Kind;
+import cypressglade.member.News;
+import cypressglade.peer.Sealed.Fault;
+import cypressglade.peer.Sealed.Refused;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** What goes over the wire between instances, and what is not taken from it. */
+class CodecTest {
+    static final String KEY = "1 " + "0a".repeat(32);
+    private static final Instant NOW = Instant.parse("2026-01-01T00:00:00Z");
+    private static final Member MEMBER = new Member("i-1", new InetSocketAddress("127.0.0.1", 40_000), -5, 3,
+            State.SUSPECT);
+    private static final Envelope ENVELOPE = new Envelope(-1, Long.MIN_VALUE, 9, Optional.of(new Message(Kind.PING_FOR,
+            7, "i-2", new InetSocketAddress("127.0.0.2", 1), List.of(new News(MEMBER, "i-9"), new News(MEMBER, "i-1")))));
+
+    static Word word(int number) {
+        return new Word("s-" + number, 1_700_000_000_000_000L, 5000, 250, 0.5, 0.25, 40, Duration.ZERO,
+                NOW.minusMillis(50), new Origin("i-1", 77));
+    }
+
+    private static Transfer transfer(int words) {
+        return new Transfer(1, 2, 3, true, List.of(MEMBER), IntStream.range(0, words).mapToObj(CodecTest::word).toList(),
+                Map.of("a", 5L));
+    }
+
+    @Test
+    void whatIsWrittenIsReadAgainAndNeverYounger() throws Exception {
+        assertThat(Codec.envelope(Codec.bytes(ENVELOPE))).isEqualTo(ENVELOPE);
+        Transfer read = Codec.transfer(Codec.bytes(transfer(2), NOW), NOW.plusSeconds(60));
+        assertThat(read.words()).extracting(word -> word.age(NOW.plusSeconds(60))).containsOnly(Duration.ofMillis(51));
+        assertThat(read).usingRecursiveComparison().ignoringFieldsOfTypes(Instant.class).isEqualTo(transfer(2));
+        byte[] snapshot = Codec.snapshot("me", transfer(1).words(), NOW);
+        assertThat(Codec.snapshot(snapshot, "me", Duration.ofSeconds(5), NOW).orElseThrow())
+                .extracting(word -> word.age(NOW)).containsExactly(Duration.ofMillis(5051));
+        assertThat(Codec.snapshot(snapshot, "you", Duration.ZERO, NOW)).isEmpty();
+    }
+
+    @Test
+    void unknownNamesAreSkippedWhateverTheyHold() throws Exception {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        try (JsonGenerator out = new CBORFactory().createGenerator(bytes)) {
+            out.writeStartObject();
+            out.writeObjectFieldStart("new");
+            out.writeArrayFieldStart("x");
+            out.writeNumber(1);
+            out.writeEndArray();
+            out.writeEndObject();
+            out.writeNumberField("f", 5);
+            out.writeStringField("later", "y");
+            out.writeEndObject();
+        }
+        assertThat(Codec.envelope(bytes.toByteArray())).isEqualTo(new Envelope(5, 0, 0, Optional.empty()));
+    }
+
+    /** Cut, changed and made-up bodies: read or refused, but nothing else is thrown and nothing runs away. */
+    @Test
+    void garbledBodiesAreRefusedOrRead() {
+        Random random = new Random(5);
+        byte[] good = Codec.bytes(transfer(3), NOW);
+        int refused = 0;
+        for (int i = 0; i < 20_000; i++) {
+            byte[] bad = random.nextInt(3) == 0 ? new byte[random.nextInt(200)] : good.clone();
+            if (bad.length < good.length) {
+                random.nextBytes(bad);
+            } else if (random.nextBoolean()) {
+                bad = Arrays.copyOf(bad, random.nextInt(bad.length));
+            } else {
+                bad[random.nextInt(bad.length)] = (byte) random.nextInt();
+                bad[random.nextInt(bad.length)] = (byte) random.nextInt();
+            }
+            try {
+                Codec.transfer(bad, NOW).words().forEach(word -> word.fault(NOW));
+                Codec.envelope(bad);
+            } catch (IOException unreadable) {
+                refused++;
+            }
+        }
+        assertThat(refused).isGreaterThan(19_000);
+    }
+
+    private static Fault fault(KeyRing keys, byte[] sealed) {
+        try {
+            Sealed.open(keys, sealed);
+            return null;
+        } catch (Refused refused) {
+            return refused.fault();
+        }
+    }
+
+    /** One bit changed anywhere is told by the signature, or before it is looked at. */
+    @Test
+    void changedAndForeignFramesAreRefused() throws Exception {
+        KeyRing keys = KeyRing.parse("k", KEY);
+        byte[] sealed = Sealed.seal(keys, Codec.bytes(ENVELOPE));
+        assertThat(Sealed.open(keys, sealed)).isEqualTo(Codec.bytes(ENVELOPE));
+        for (int i = 0; i < sealed.length; i++) {
+            byte[] changed = sealed.clone();
+            changed[i] ^= 1;
+            assertThat(fault(keys, changed)).isEqualTo(i == 0 ? Fault.NO : i == 1 ? Fault.KEY : Fault.SIGNATURE);
+        }
+        assertThat(fault(keys, Arrays.copyOf(sealed, 33))).isEqualTo(Fault.SHORT);
+        assertThat(fault(keys, new byte[0])).isEqualTo(Fault.SHORT);
+        assertThat(fault(keys, new byte[] {2})).isEqualTo(Fault.VERSION);
+        assertThat(fault(keys, Sealed.no())).isEqualTo(Fault.NO);
+        assertThat(fault(KeyRing.parse("k", "1 " + "0b".repeat(32)), sealed)).isEqualTo(Fault.SIGNATURE);
+    }
+
+    /** The three steps in which a key is changed on one instance after the other. */
+    @Test
+    void twoKeysHoldWhileOneIsChanged() throws Exception {
+        String other = "2 " + "0b".repeat(32);
+        List<KeyRing> steps = List.of(KeyRing.parse("k", KEY), KeyRing.parse("k", KEY + "\n" + other),
+                KeyRing.parse("k", other + "\n" + KEY), KeyRing.parse("k", other));
+        for (int i = 0; i + 1 < steps.size(); i++) {
+            assertThat(fault(steps.get(i), Sealed.seal(steps.get(i + 1), new byte[1]))).isNull();
+            assertThat(fault(steps.get(i + 1), Sealed.seal(steps.get(i), new byte[1]))).isNull();
+        }
+        assertThat(fault(steps.get(3), Sealed.seal(steps.get(0), new byte[1]))).isEqualTo(Fault.KEY);
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', textBlock = """
+            '' | k: has 0 keys
+            1 | k:1: is not ID HEX
+            256 0a | k:1: is not ID HEX
+            # c\\n1 0a0a | k:2: the key is not 16 to 128 bytes
+            1 zz | k:1: the key
+            @\\n@ | k:2: the ID 1 is there twice
+            @\\n2 @\\n | k:2: is not ID HEX
+            """)
+    void unusableKeyFilesAreNamedByLine(String text, String why) {
+        assertThatThrownBy(() -> KeyRing.parse("k", text.replace("\\n", "\n").replace("@", KEY)))
+                .isInstanceOf(IOException.class).hasMessageStartingWith(why);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"0", "-1", "65537", "2147483647"})
+    void framesOutOfBoundsFailBeforeRoomIsMade(int length) {
+        Frames frames = new Frames(frame -> { });
+        assertThatThrownBy(() -> frames.feed(java.nio.ByteBuffer.allocate(4).putInt(length).flip()))
+                .isInstanceOf(IOException.class).hasMessageContaining(Integer.toString(length));
+    }
+}
--- a/src/test/java/cypressglade/standin/Site.java
+++ b/src/test/java/cypressglade/standin/Site.java
@@ -1,5 +1,6 @@
 package cypressglade.standin;
 
+import cypressglade.cli.OperatorFiles;
 import cypressglade.cli.Serve;
 import cypressglade.config.Config;
 import cypressglade.nbd.NbdConfig;
@@ -39,6 +40,10 @@
     public final Serve serve;
 
     public Site(List<String> addresses, Optional<NbdConfig> nbd) throws Exception {
+        this(addresses, new OperatorFiles(nbd, Optional.empty()));
+    }
+
+    public Site(List<String> addresses, OperatorFiles files) throws Exception {
         StringBuilder servers = new StringBuilder();
         for (int i = 0; i < addresses.size(); i++) {
             servers.append(i == 0 ? "" : ",").append(entry(i, addresses.get(i), "active"));
@@ -52,7 +57,7 @@
         } finally {
             Files.delete(file);
         }
-        serve = new Serve(config, nbd);
+        serve = new Serve(config, files);
         serve.start();
     }
 
