Count what is given up by reason, and keep drains by hand over what the sources tell

Need: operators want to know why requests were turned away and what is held; issue 'Appliance on a console'. Of learning: a node that only a probe brought back was told on as silent for up to two minutes. The stale word of silence ends with any sign of life.

--- a/src/main/java/cypressglade/core/Brain.java
+++ b/src/main/java/cypressglade/core/Brain.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
+import java.util.stream.Stream;
 
 /**
  * Every decision of cypressglade; the interface is in Scheduler.java. After A. K. Singh, "Performance
@@ -96,6 +97,7 @@
     private double meanExcess, asked; // units beyond the reserves of a volume, and all that was asked for
     private long averageAt, askedAt, excessAt;
     private int answers, heldCount, outCount;
+    private final long[] givenUp = new long[Reason.values().length];
     private boolean ticking;
 
     public Brain(long nowUs, Settings settings, Actions actions) {
@@ -155,7 +157,7 @@
         open.put(request.id(), held);
         if (request.requestClass() >= settings.classes().size()
                 || request.plan() >= settings.plans().size()) {
-            giveUp(now, held, 0);
+            giveUp(now, held, 0, Reason.UNKNOWN);
             return;
         }
         held.volume = volumes.computeIfAbsent(request.volume(), id -> new Volume(now, held));
@@ -274,6 +276,19 @@
         return nodes.values().stream().map(node -> node.view(now)).toList();
     }
 
+    @Override
+    public Load load(long now) {
+        int[] held = new int[settings.classes().size()];
+        long[] oldest = new long[held.length];
+        nodes.values().forEach(node -> Stream.concat(node.queue.stream(), node.parked.stream())
+                .filter(one -> one.request.requestClass() < held.length).forEach(one -> {
+                    held[one.request.requestClass()]++;
+                    oldest[one.request.requestClass()] =
+                            Math.max(oldest[one.request.requestClass()], now - one.arrived);
+                }));
+        return new Load(held, oldest, givenUp.clone());
+    }
+
     @Override
     public void message(long now, long fromRank, byte[] text) {
         // Heads tell each other nothing: lending what is spare of a limit brought nothing (design page).
@@ -342,15 +357,15 @@
         double wait = Math.max(2 * TICK_US,
                 held.volume.limitWait(now, held.volume.pending + held.request.units()));
         if (node == null || !usable(now, node)) {
-            giveUp(now, held, 2 * TEST_GAP_US);
+            giveUp(now, held, 2 * TEST_GAP_US, node == null ? Reason.NO_NODE : Reason.SILENT);
         } else if (held.aim < now + LEAST_AIM_PART * held.type.aimUs()) {
             // Past the aim of the first try a repeat earns little, yet costs as much. Covers every overload
             // in which clients ask again; may hurt where late answers are worth much.
-            giveUp(now, held, 0);
+            giveUp(now, held, 0, Reason.LATE_REPEAT);
         } else if (node.coldRoom(now) < held.request.units()) {
-            giveUp(now, held, limits.fallUs());
+            giveUp(now, held, limits.fallUs(), Reason.COLD);
         } else if (now + wait > held.due) {
-            giveUp(now, held, (long) Math.min(wait, Integer.MAX_VALUE));
+            giveUp(now, held, (long) Math.min(wait, Integer.MAX_VALUE), Reason.LIMIT);
         } else if (held.background || fitsAim(now, node, held)) {
             held.volume.reserve -= held.request.units() * held.reserved;
             enqueue(node, held);
@@ -371,7 +386,7 @@
         double mean = node.backlog(now) + span(node.outUnits + ahead, settings.meanUnits()) * node.pace(now);
         if (over > 0 || mean > Math.min(slack(now, node, held.worth) * tightestAim, held.aim - now)
                 || displaces(now, node, held)) {
-            giveUp(now, held, (long) over);
+            giveUp(now, held, (long) over, Reason.CROWDED);
             return false;
         }
         return true;
@@ -503,7 +518,7 @@
             if (!mayGo(now, held) || node.coldRoom(now) < held.request.units()) {
                 i++;
             } else if (!held.sent.isEmpty() && !mayTryFurther(now)) {
-                giveUp(now, held, FULL_REST_US); // the budget was there when it was held, but not any more
+                giveUp(now, held, FULL_REST_US, Reason.BUDGET); // it was there when this was held
             } else if (!held.background || !shift(node, held, i)) {
                 // What a silent node has out is lost or stuck: it keeps out nothing that a probe allows.
                 if (!usable(now, node) || !silent(now, node) && !fits(now, node, held)) {
@@ -581,7 +596,7 @@
             enqueue(next, held);
             dispatch(now, next);
         } else {
-            giveUp(now, held, FULL_REST_US);
+            giveUp(now, held, FULL_REST_US, Reason.ATTEMPT_FAILED);
         }
     }
 
@@ -597,7 +612,8 @@
     }
 
     /** The final answer, at once: refused where that is allowed, failed where the work may have run. */
-    private void giveUp(long now, Held held, long adviceUs) {
+    private void giveUp(long now, Held held, long adviceUs, Reason reason) {
+        givenUp[reason.ordinal()]++;
         unqueue(held);
         held.over = true;
         boolean harmless = held.sent.isEmpty() || !held.mayHaveRun && held.outstanding == 0
@@ -738,7 +754,7 @@
         for (Held held : List.copyOf(node.queue)) {
             double need = node.backlog(now) + span(0, held.work) * node.pace(now);
             if (now + Math.max(2 * TICK_US, need) > held.due) {
-                giveUp(now, held, LEAST_ADVICE_US);
+                giveUp(now, held, LEAST_ADVICE_US, Reason.EXPIRED);
             }
         }
     }
--- a/src/main/java/cypressglade/core/Engine.java
+++ b/src/main/java/cypressglade/core/Engine.java
@@ -3,6 +3,7 @@
 import cypressglade.core.NodeLink.Ending;
 import cypressglade.core.Scheduler.Actions;
 import cypressglade.core.Scheduler.Hint;
+import cypressglade.core.Scheduler.Load;
 import cypressglade.core.Scheduler.Outcome;
 import cypressglade.core.Scheduler.Settings;
 import cypressglade.core.Scheduler.Status;
@@ -15,6 +16,7 @@
 import java.util.PriorityQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.LongFunction;
 
@@ -101,6 +103,11 @@
         post(() -> seen.accept(directory.facts(scheduler.views(now()))));
     }
 
+    /** What is known of the nodes and what is held, of one moment; as {@link #views}. */
+    public void look(BiConsumer<List<NodeFact>, Load> seen) {
+        post(() -> seen.accept(directory.facts(scheduler.views(now())), scheduler.load(now())));
+    }
+
     /** Hands on what others know of a node, by its id; of one that is not in the list nothing is kept. */
     public void hint(String id, LongFunction<Hint> hint) {
         post(() -> directory.number(id).ifPresent(node -> scheduler.hint(now(), hint.apply(node))));
--- a/src/main/java/cypressglade/core/Scheduler.java
+++ b/src/main/java/cypressglade/core/Scheduler.java
@@ -35,6 +35,9 @@
     /** What is known of each node. */
     List<NodeView> views(long nowUs);
 
+    /** Work that is held, and what was given up since the start. */
+    Load load(long nowUs);
+
     /** A message of another head of the tier. */
     void message(long nowUs, long fromRank, byte[] text);
 
@@ -126,6 +129,14 @@
             double paceUs, double backlogUs, double strain, double errors, int answers, long answeredAgoUs,
             long seenAgoUs, double outUnits, double boundUnits, int held, double coldRoom) { }
 
+    /** Why a request got its final answer without being served. */
+    enum Reason {
+        UNKNOWN, NO_NODE, SILENT, LATE_REPEAT, COLD, LIMIT, CROWDED, BUDGET, EXPIRED, ATTEMPT_FAILED
+    }
+
+    /** By class: requests held, and the longest wait among them; by reason: requests given up so far. */
+    record Load(int[] held, long[] oldestUs, long[] givenUp) { }
+
     /** A class of requests; times in microseconds. */
     record RequestClass(String name, long aimUs, double aimStretch, long deadlineUs, double worth,
             double lateWorth, Effect effect, Scope scope, long keyTtlUs, boolean keepOrder, boolean streamed,
--- a/src/main/java/cypressglade/learn/Learner.java
+++ b/src/main/java/cypressglade/learn/Learner.java
@@ -113,21 +113,20 @@
                 stillSilent.put(id, since);
                 Duration silentFor = Duration.between(since, now).plusMillis(1);
                 words.put(id, Word.own(id, view, silentFor, now, self));
-            } else if (since != null && before != null && before.startedUs() == view.startedUs()
-                    && (view.seenAgoUs() < 0
-                            || now.minusNanos(view.seenAgoUs() * 1000).isBefore(before.at()))) {
-                // The module holds a node for silent only while something is out there. Until a sign of life
-                // comes the word stands, at the age of what it was seen by.
-                stillSilent.put(id, since);
-                words.put(id, before);
             } else if (!view.guarded() && view.answeredAgoUs() >= 0) {
                 Duration ago = Duration.ofNanos(view.answeredAgoUs() * 1000);
                 boolean fresh = ago.compareTo(FRESH) <= 0;
                 words.put(id, fresh || before == null || before.startedUs() != view.startedUs()
                         ? Word.own(id, view, Duration.ZERO, now.minus(ago), self) : before);
-            } else if (before != null && before.startedUs() == view.startedUs()) {
+            } else if (before != null && before.startedUs() == view.startedUs()
+                    && !(before.silent() && seenSince(before.at(), view, now))) {
                 words.put(id, before);
             }
+            if (since != null && words.containsKey(id) && words.get(id).silent()) {
+                // The module holds a node for silent only while something is out there. Until a sign of life
+                // comes the word stands, at the age of what it was seen by.
+                stillSilent.putIfAbsent(id, since);
+            }
             judge(fact);
         }
         words.values().removeIf(word -> word.age(now).compareTo(Trust.LIFE) > 0);
@@ -138,6 +137,10 @@
         given.keySet().retainAll(facts.stream().map(fact -> fact.known().id()).toList());
     }
 
+    private static boolean seenSince(Instant then, NodeView view, Instant now) {
+        return view.seenAgoUs() >= 0 && !now.minusNanos(view.seenAgoUs() * 1000).isBefore(then);
+    }
+
     private void judge(NodeFact fact) {
         Given hint = given.get(fact.known().id());
         NodeView view = fact.view();
--- /dev/null
+++ b/src/main/java/cypressglade/operate/HandDrains.java
@@ -0,0 +1,183 @@
+package cypressglade.operate;
+
+import cypressglade.core.NodeFact;
+import cypressglade.core.NodeList;
+import cypressglade.core.NodeList.Entry;
+import cypressglade.core.Scheduler.State;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+/**
+ * Drains by hand over what the sources tell. A drain holds for one run of one node, whatever the sources say
+ * of it, until it is taken back, the node leaves the list, or it comes back with a later start. The list as
+ * told is kept, so that taking a drain back shows what the sources say by then.
+ *
+ * <p>The lock holds from the decision to the end of {@code out}, so that a list from a source and an order of
+ * an operator cannot overtake each other; {@code out} must not block.
+ */
+public final class HandDrains {
+    private static final int MOST_COMMANDS = 256;
+    private static final int MOST_NAMED = 5;
+
+    private final Consumer<NodeList> out;
+    private final Map<String, Entry> told = new LinkedHashMap<>();
+    private final Map<String, HandDrain> drains = new LinkedHashMap<>();
+    private final LinkedHashMap<String, Result> commands = new LinkedHashMap<>();
+    private long version;
+
+    /** What became of an order. */
+    public enum Kind { DONE, ALREADY, UNKNOWN_NODE, AMBIGUOUS, ONLY_NODE }
+
+    /**
+     * The answer to an order.
+     *
+     * @param node the id that the order came to mean, or the name as given
+     * @param names of nodes to choose from, or the shard that would be left without a node
+     */
+    public record Result(Kind kind, String node, List<String> names) { }
+
+    /**
+     * An order.
+     *
+     * @param command a name that its giver made up: an order under a name that was carried out is not again
+     * @param node a node's id, or the beginning of just one
+     * @param force also where no other node holds the shard
+     */
+    public record Order(String command, String node, String who, String why, boolean force) { }
+
+    /** Drains over nothing yet; what holds goes to {@code out}. */
+    public HandDrains(Consumer<NodeList> out) {
+        this.out = out;
+    }
+
+    /** Takes drains of a former life, before any list; those of runs that are over end with the first. */
+    public synchronized void restore(Collection<HandDrain> kept) {
+        kept.forEach(drain -> drains.put(drain.node(), drain));
+    }
+
+    /** Takes what a source told, and hands on what holds. */
+    public synchronized void told(NodeList list) {
+        version = list.version();
+        if (list.full()) {
+            told.clear();
+        }
+        for (Entry entry : list.entries()) {
+            if (entry.state() == State.GONE) {
+                told.remove(entry.id());
+            } else {
+                told.put(entry.id(), entry);
+            }
+        }
+        drains.values().removeIf(drain -> {
+            Entry entry = told.get(drain.node());
+            return entry == null || entry.started().isAfter(drain.started());
+        });
+        out.accept(new NodeList(list.version(), list.full(),
+                list.entries().stream().map(this::held).toList()));
+    }
+
+    private Entry held(Entry entry) {
+        return entry.state() == State.READY && drains.containsKey(entry.id())
+                ? new Entry(entry.id(), entry.address(), entry.zone(), entry.kind(), entry.cell(),
+                        State.DRAINING, entry.weight(), entry.started())
+                : entry;
+    }
+
+    /** Drains a node; once this returns DONE nothing new starts there. */
+    public synchronized Result drain(Order order, Instant now) {
+        return once(order, () -> {
+            Result named = named(order.node());
+            if (named.kind() != Kind.DONE) {
+                return named;
+            }
+            Entry entry = told.get(named.node());
+            if (drains.containsKey(entry.id())) {
+                return new Result(Kind.ALREADY, entry.id(), List.of());
+            }
+            boolean other = told.values().stream().anyMatch(one -> one.cell() == entry.cell()
+                    && !one.id().equals(entry.id()) && held(one).state() == State.READY);
+            if (!other && entry.state() == State.READY && !order.force()) {
+                return new Result(Kind.ONLY_NODE, entry.id(), List.of(Integer.toString(entry.cell())));
+            }
+            drains.put(entry.id(), new HandDrain(entry.id(), entry.started(), order.who(), now, order.why(),
+                    false));
+            show(entry);
+            return named;
+        });
+    }
+
+    /** Takes a drain back: the node is what the sources say it is. */
+    public synchronized Result undrain(Order order) {
+        return once(order, () -> {
+            Result named = named(order.node());
+            if (named.kind() != Kind.DONE) {
+                return named;
+            }
+            if (drains.remove(named.node()) == null) {
+                return new Result(Kind.ALREADY, named.node(), List.of());
+            }
+            show(told.get(named.node()));
+            return named;
+        });
+    }
+
+    private Result once(Order order, Supplier<Result> act) {
+        Result before = commands.get(order.command());
+        if (before != null) {
+            return new Result(Kind.ALREADY, before.node(), before.names());
+        }
+        Result result = act.get();
+        if (result.kind() == Kind.DONE) {
+            commands.put(order.command(), result);
+            if (commands.size() > MOST_COMMANDS) {
+                commands.remove(commands.keySet().iterator().next());
+            }
+        }
+        return result;
+    }
+
+    private void show(Entry entry) {
+        out.accept(new NodeList(version, false, List.of(held(entry))));
+    }
+
+    private Result named(String name) {
+        if (told.containsKey(name)) {
+            return new Result(Kind.DONE, name, List.of());
+        }
+        List<String> fits = told.keySet().stream().filter(id -> !name.isEmpty() && id.startsWith(name))
+                .sorted().toList();
+        if (fits.size() == 1) {
+            return new Result(Kind.DONE, fits.get(0), List.of());
+        }
+        return new Result(fits.isEmpty() ? Kind.UNKNOWN_NODE : Kind.AMBIGUOUS, name,
+                (fits.isEmpty() ? told.keySet().stream().sorted() : fits.stream()).limit(MOST_NAMED)
+                        .toList());
+    }
+
+    /** Takes in the views: a drain is done when nothing is out or held there. Returns the newly done. */
+    public synchronized List<HandDrain> seen(List<NodeFact> facts) {
+        List<HandDrain> done = new ArrayList<>();
+        drains.replaceAll((id, drain) -> {
+            Optional<NodeFact> busy = facts.stream().filter(fact -> fact.known().id().equals(id)
+                    && (fact.view().outUnits() > 0 || fact.view().held() > 0)).findAny();
+            if (drain.done() || busy.isPresent()) {
+                return drain;
+            }
+            done.add(drain.ended());
+            return drain.ended();
+        });
+        return done;
+    }
+
+    /** What holds now, in the order in which it was ordered. */
+    public synchronized List<HandDrain> list() {
+        return List.copyOf(drains.values());
+    }
+}
--- /dev/null
+++ b/src/main/java/cypressglade/operate/Picture.java
@@ -0,0 +1,10 @@
+package cypressglade.operate;
+
+import cypressglade.core.NodeFact;
+import cypressglade.core.Scheduler.Load;
+import java.time.Instant;
+import java.util.List;
+
+/** What a scheduler looked like at one time; never changes after. */
+public record Picture(Instant at, List<NodeFact> nodes, List<String> classes, Load load,
+        List<HandDrain> drains) { }
