--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 CONFIG ?= deploy/config.example.json
 
-.PHONY: build test lint run clean measure-learning
+.PHONY: build test lint run clean measure-learning measure-console
 
 define measure
 mvn -q -B test-compile
@@ -24,5 +24,8 @@
 measure-learning:
 	$(call measure,cypressglade.peer.LearningMeasure)
 
+measure-console:
+	$(call measure,cypressglade.control.ConsoleMeasure)
+
 clean:
 	mvn -q clean
--- a/src/main/java/cypressglade/cli/Main.java
+++ b/src/main/java/cypressglade/cli/Main.java
@@ -160,6 +160,7 @@
 
     private static Map<String, OperatorCommand> operatorCommands() {
         Map<String, OperatorCommand> commands = new LinkedHashMap<>();
+        commands.put("console", new OperatorCommand.ConsoleCommand());
         commands.put("nodes", new OperatorCommand.Nodes());
         commands.put("queues", new OperatorCommand.Queues());
         commands.put("refusals", new OperatorCommand.Refusals());
--- a/src/main/java/cypressglade/cli/OperatorCommand.java
+++ b/src/main/java/cypressglade/cli/OperatorCommand.java
@@ -7,6 +7,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import cypressglade.config.ConfigException;
 import cypressglade.config.ControlConfigParser;
+import cypressglade.console.Console;
 import cypressglade.control.ControlClient;
 import cypressglade.control.ControlConfig;
 import java.io.IOException;
@@ -44,11 +45,15 @@
         }
     }
 
-    void run(PrintStream out) throws ConfigException, IOException {
-        Path path = socket.isEmpty() ? ControlConfigParser.read(Path.of(file)).map(ControlConfig::socket)
+    /** Where the socket is. */
+    protected final Path socket() throws ConfigException {
+        return socket.isEmpty() ? ControlConfigParser.read(Path.of(file)).map(ControlConfig::socket)
                 .orElseThrow(() -> new ConfigException(file + ": is not there or says \"enabled\": false; "
                         + "turn it on, or name the socket with --socket")) : Path.of(socket);
-        try (ControlClient client = new ControlClient(path)) {
+    }
+
+    void run(PrintStream out) throws ConfigException, IOException {
+        try (ControlClient client = new ControlClient(socket())) {
             act(client, out);
         }
     }
@@ -112,6 +117,17 @@
         }
     }
 
+    @Parameters(commandDescription = "open the console: nodes, held work, refusals, drains")
+    static final class ConsoleCommand extends OperatorCommand {
+        @Override
+        void run(PrintStream out) throws ConfigException, IOException {
+            new Console(socket(), System.getenv()).run(out);
+        }
+
+        @Override
+        protected void act(ControlClient client, PrintStream out) { }
+    }
+
     @Parameters(commandDescription = "show the storage nodes as the scheduler sees them")
     static final class Nodes extends OperatorCommand {
         @Override
--- a/src/main/java/cypressglade/control/Control.java
+++ b/src/main/java/cypressglade/control/Control.java
@@ -36,6 +36,8 @@
     /** Drains hold however long the scheduler was away. */
     private static final Duration ANY_AGE = Duration.ofDays(36_500);
 
+    private static final int SHOWN_EVENTS = 8;
+
     private final Engine engine;
     private final Counters counters;
     private final HandDrains drains;
@@ -201,6 +203,8 @@
             DrainFile.write(out, drain);
         }
         out.writeEndArray();
+        List<Event> all = events.after(0);
+        write(out, all.subList(Math.max(0, all.size() - SHOWN_EVENTS), all.size()));
     }
 
     private static void write(JsonGenerator out, NodeFact fact, Picture picture) throws IOException {
--- a/src/main/java/cypressglade/core/Engine.java
+++ b/src/main/java/cypressglade/core/Engine.java
@@ -105,7 +105,7 @@
 
     /** What is known of the nodes and what is held, of one moment; as {@link #views}. */
     public void look(BiConsumer<List<NodeFact>, Load> seen) {
-        post(() -> seen.accept(directory.facts(scheduler.views(now())), scheduler.load(now())));
+        post(() -> seen.accept(directory.all(scheduler.views(now())), scheduler.load(now())));
     }
 
     /** Hands on what others know of a node, by its id; of one that is not in the list nothing is kept. */
--- a/src/main/java/cypressglade/core/NodeDirectory.java
+++ b/src/main/java/cypressglade/core/NodeDirectory.java
@@ -64,6 +64,18 @@
                 .map(view -> new NodeFact(nodes.get(view.node()), view)).toList();
     }
 
+    /** The same, and after them those of the list that the module keeps nothing of, such as drained ones. */
+    synchronized List<NodeFact> all(List<NodeView> views) {
+        List<NodeFact> all = new ArrayList<>(facts(views));
+        Set<Long> seen = views.stream().map(NodeView::node).collect(Collectors.toSet());
+        nodes.forEach((number, known) -> {
+            if (!seen.contains(number)) {
+                all.add(new NodeFact(known, NodeView.unknown(number, known.cell())));
+            }
+        });
+        return all;
+    }
+
     /** How many nodes are known. */
     synchronized int size() {
         return numbers.size();
--- a/src/main/java/cypressglade/core/Scheduler.java
+++ b/src/main/java/cypressglade/core/Scheduler.java
@@ -127,7 +127,14 @@
      */
     record NodeView(long node, int shard, boolean ready, boolean guarded, boolean silent, long startedUs,
             double paceUs, double backlogUs, double strain, double errors, int answers, long answeredAgoUs,
-            long seenAgoUs, double outUnits, double boundUnits, int held, double coldRoom) { }
+            long seenAgoUs, double outUnits, double boundUnits, int held, double coldRoom) {
+
+        /** Of a node that the module keeps nothing of, and sends nothing to. */
+        static NodeView unknown(long node, int shard) {
+            return new NodeView(node, shard, false, false, false, 0, 0, 0, 0, 0, 0, -1, -1, 0, 0, 0,
+                    Double.MAX_VALUE);
+        }
+    }
 
     /** Why a request got its final answer without being served. */
     enum Reason {
--- a/src/test/java/cypressglade/control/ControlTest.java
+++ b/src/test/java/cypressglade/control/ControlTest.java
@@ -120,6 +120,7 @@
         Site.await(() -> node.requests.size() == 1);
         assertThat(drain("one").path("acted").asBoolean()).isTrue();
         assertThat(ask("GET")).isEqualTo(503);
+        assertThat(call("view", Map.of()).path("nodes").findValuesAsText("state")).contains("drained by hand");
         assertThat(events().findValuesAsText("event")).doesNotContain("drain.done");
         answerWrite.countDown();
         assertThat(write.get()).isEqualTo(200);
@@ -130,6 +131,7 @@
                 throw new IllegalStateException(failed);
             }
         });
+        assertThat(call("view", Map.of()).path("nodes").findValuesAsText("state")).contains("drained by hand");
         assertThat(node.requests).hasSize(1);
         assertThat(other.arrivals).isEmpty();
     }
