Keep drains by hand through a first list that lacks their node; add settings, completion

Need: a drain by hand was lost at a restart where the configuration's own node list, which comes first, does not name the node; and operators want settings in force, other schedulers, and completion at hand. Change: a drain ends only with a node that was in the list in this life and left it, and can be taken back for a node that is not listed. Commands settings and completion; the console shows the other schedulers.

--- a/src/main/java/cypressglade/cli/Main.java
+++ b/src/main/java/cypressglade/cli/Main.java
@@ -99,6 +99,8 @@
                 .addCommand("peers", peers).addCommand("new-key", new NewKeyCommand())
                 .addCommand("version", new VersionCommand()).build();
         operator.forEach(commands::addCommand);
+        CompletionCommand completion = new CompletionCommand();
+        commands.addCommand("completion", completion);
         try {
             commands.parse(args);
             OperatorCommand asked = operator.get(commands.getParsedCommand());
@@ -132,6 +134,10 @@
                     peers.run(out);
                     return OK;
                 }
+                case "completion" -> {
+                    out.print(completion.script(commands));
+                    return OK;
+                }
                 case "new-key" -> {
                     out.println(PeersCommand.newKey());
                     return OK;
@@ -164,6 +170,7 @@
         commands.put("nodes", new OperatorCommand.Nodes());
         commands.put("queues", new OperatorCommand.Queues());
         commands.put("refusals", new OperatorCommand.Refusals());
+        commands.put("settings", new OperatorCommand.SettingsCommand());
         commands.put("events", new OperatorCommand.EventsCommand());
         commands.put("drain", new OperatorCommand.Drain());
         commands.put("undrain", new OperatorCommand.Undrain());
--- a/src/main/java/cypressglade/cli/OperatorCommand.java
+++ b/src/main/java/cypressglade/cli/OperatorCommand.java
@@ -156,6 +156,14 @@
         }
     }
 
+    @Parameters(commandDescription = "show what the scheduler runs by now")
+    static final class SettingsCommand extends OperatorCommand {
+        @Override
+        protected void act(ControlClient client, PrintStream out) throws IOException {
+            show(out, call(client, "settings", Map.of()).path("settings"), "setting", "value");
+        }
+    }
+
     @Parameters(commandDescription = "show what happened; --follow goes on until it is stopped")
     static final class EventsCommand extends OperatorCommand {
         @Parameter(names = "--follow", description = "wait for more")
--- a/src/main/java/cypressglade/cli/Serve.java
+++ b/src/main/java/cypressglade/cli/Serve.java
@@ -15,6 +15,7 @@
 import cypressglade.http.NodeClient;
 import cypressglade.nbd.NbdListener;
 import cypressglade.nbd.NbdNodeLink;
+import cypressglade.member.Member;
 import cypressglade.net.Loop;
 import cypressglade.net.NodePool;
 import cypressglade.operate.HandDrains;
@@ -41,6 +42,7 @@
     private static final Duration SETTLE = Duration.ofMillis(50);
 
     private volatile Config config;
+    private volatile OperatorFiles files;
     private final Counters counters = new Counters();
     private final Loop loop;
     private final Engine engine;
@@ -57,6 +59,7 @@
 
     public Serve(Config config, OperatorFiles files) throws IOException {
         this.config = config;
+        this.files = files;
         loop = new Loop();
         NodeDirectory directory = new NodeDirectory();
         engine = new Engine(config.settings(), directory, counters);
@@ -69,7 +72,8 @@
                 ? nbdNodes.get() : nodes);
         HandDrains drains = new HandDrains(engine::told);
         control = files.control().isEmpty() ? Optional.empty() : Optional.of(new Control(
-                files.control().get(), engine, counters, drains, this::classes));
+                files.control().get(), engine, counters, drains, this::classes,
+                this::members, () -> InForce.of(this.config, this.files)));
         Consumer<NodeList> lists = control.isPresent() ? drains::told : engine::told;
         lists.accept(config.known());
         discovery = new DiscoveryWatch(loop, config.discovery(), config.nodeLists(), directory, lists,
@@ -82,6 +86,10 @@
         peers = files.peers().map(file -> new Peers(file, loop, engine, counters));
     }
 
+    private List<Member> members() {
+        return peers.map(Peers::members).orElse(List.of());
+    }
+
     private List<String> classes() {
         return config.settings().classes().stream().map(RequestClass::name).toList();
     }
@@ -120,6 +128,7 @@
             LOG.log(System.Logger.Level.WARNING, "listeners and the heap change with a restart only");
         }
         config = next;
+        this.files = files;
     }
 
     public InetSocketAddress address() {
--- a/src/main/java/cypressglade/console/Screen.java
+++ b/src/main/java/cypressglade/console/Screen.java
@@ -122,7 +122,8 @@
             add(pad(i < held.size() ? held.get(i) : "", left) + (i < refused.size() ? refused.get(i) : ""),
                     Look.PLAIN);
         }
-        add("EVENTS", Look.HEADING);
+        add("EVENTS" + (view.members().isEmpty() ? "" : "          SCHEDULERS: "
+                + String.join(", ", view.members())), Look.HEADING);
         int most = Math.max(0, room - tables);
         List<String> events = view.events();
         events.subList(Math.max(0, events.size() - most), events.size())
--- a/src/main/java/cypressglade/console/View.java
+++ b/src/main/java/cypressglade/console/View.java
@@ -8,8 +8,8 @@
 
 /** A frame of the control socket, as the console wants it. */
 record View(List<Node> nodes, List<Queue> queues, Map<String, Long> givenUp, Map<String, Long> counters,
-        List<String> events) {
-    static final View EMPTY = new View(List.of(), List.of(), Map.of(), Map.of(), List.of());
+        List<String> events, List<String> members) {
+    static final View EMPTY = new View(List.of(), List.of(), Map.of(), Map.of(), List.of(), List.of());
 
     /** A storage node. */
     record Node(String id, int shard, String state, double msPerUnit, double unitsOut, double bound, int held,
@@ -42,8 +42,12 @@
             });
             events.add(line.toString());
         }
+        List<String> members = new ArrayList<>();
+        for (JsonNode member : frame.path("members")) {
+            members.add(member.path("name").asText() + " " + member.path("state").asText());
+        }
         return new View(nodes, queues, numbers(frame.path("given_up")), numbers(frame.path("counters")),
-                events);
+                events, members);
     }
 
     private static String time(String instant) {
--- a/src/main/java/cypressglade/control/Control.java
+++ b/src/main/java/cypressglade/control/Control.java
@@ -6,6 +6,7 @@
 import cypressglade.core.NodeFact;
 import cypressglade.core.Scheduler.Reason;
 import cypressglade.core.Time;
+import cypressglade.member.Member;
 import cypressglade.operate.Events;
 import cypressglade.operate.Events.Event;
 import cypressglade.operate.HandDrain;
@@ -44,6 +45,8 @@
     private final Events events = new Events();
     private final Pictures pictures;
     private final Supplier<List<String>> classes;
+    private final Supplier<List<Member>> members;
+    private final Supplier<Map<String, String>> settings;
     private final SnapshotStore store;
     private final ControlServer server;
 
@@ -51,14 +54,19 @@
      * Opens the socket.
      *
      * @param classes the names of the request classes, as the settings have them now
+     * @param members the instances that this one sees, itself first; empty where it talks to none
+     * @param settings what the scheduler runs by now, by name
      * @throws IOException naming what is wrong and what to do
      */
     public Control(ControlConfig config, Engine engine, Counters counters, HandDrains drains,
-            Supplier<List<String>> classes) throws IOException {
+            Supplier<List<String>> classes, Supplier<List<Member>> members,
+            Supplier<Map<String, String>> settings) throws IOException {
         this.engine = engine;
         this.counters = counters;
         this.drains = drains;
         this.classes = classes;
+        this.members = members;
+        this.settings = settings;
         pictures = new Pictures(this::gather);
         store = new SnapshotStore(config.directory(), "drains");
         recall();
@@ -109,9 +117,10 @@
                     out -> write(out, picture))));
             case "drain" -> answer.accept(ordered(call, drains.drain(order(call), Instant.now())));
             case "undrain" -> answer.accept(ordered(call, drains.undrain(order(call))));
+            case "settings" -> answer.accept(Call.answer(call.id(), this::writeSettings));
             case "events" -> answer.accept(Call.answer(call.id(), out -> write(out, after(call))));
             default -> answer.accept(Call.refusal(call.id(), "\"do\":\"" + call.what()
-                    + "\" is not known here", "use one of view, watch, drain, undrain, events"));
+                    + "\" is not known here", "use one of view, watch, drain, undrain, events, settings"));
         }
     }
 
@@ -198,6 +207,14 @@
             out.writeNumberField(name.name().toLowerCase(Locale.ROOT), counters.get(name));
         }
         out.writeEndObject();
+        out.writeArrayFieldStart("members");
+        for (Member member : members.get()) {
+            out.writeStartObject();
+            out.writeStringField("name", member.name());
+            out.writeStringField("state", member.state().name().toLowerCase(Locale.ROOT));
+            out.writeEndObject();
+        }
+        out.writeEndArray();
         out.writeArrayFieldStart("drains");
         for (HandDrain drain : picture.drains()) {
             DrainFile.write(out, drain);
@@ -226,6 +243,17 @@
         out.writeEndObject();
     }
 
+    private void writeSettings(JsonGenerator out) throws IOException {
+        out.writeArrayFieldStart("settings");
+        for (Map.Entry<String, String> setting : settings.get().entrySet()) {
+            out.writeStartObject();
+            out.writeStringField("setting", setting.getKey());
+            out.writeStringField("value", setting.getValue());
+            out.writeEndObject();
+        }
+        out.writeEndArray();
+    }
+
     private static void write(JsonGenerator out, List<Event> events) throws IOException {
         out.writeArrayFieldStart("events");
         for (Event event : events) {
--- a/src/main/java/cypressglade/operate/HandDrains.java
+++ b/src/main/java/cypressglade/operate/HandDrains.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 
@@ -57,7 +58,7 @@
         this.out = out;
     }
 
-    /** Takes drains of a former life, before any list; those of runs that are over end with the first. */
+    /** Takes drains of a former life, before any list; those of runs that are over end as lists tell it. */
     public synchronized void restore(Collection<HandDrain> kept) {
         kept.forEach(drain -> drains.put(drain.node(), drain));
     }
@@ -65,6 +66,7 @@
     /** Takes what a source told, and hands on what holds. */
     public synchronized void told(NodeList list) {
         version = list.version();
+        Set<String> before = Set.copyOf(told.keySet());
         if (list.full()) {
             told.clear();
         }
@@ -76,8 +78,10 @@
             }
         }
         drains.values().removeIf(drain -> {
+            // The first list after a restart may be the configuration's, older or shorter than the sources':
+            // a node has left only if it was there in this life.
             Entry entry = told.get(drain.node());
-            return entry == null || entry.started().isAfter(drain.started());
+            return entry == null ? before.contains(drain.node()) : entry.started().isAfter(drain.started());
         });
         out.accept(new NodeList(list.version(), list.full(),
                 list.entries().stream().map(this::held).toList()));
@@ -116,14 +120,17 @@
     /** Takes a drain back: the node is what the sources say it is. */
     public synchronized Result undrain(Order order) {
         return once(order, () -> {
-            Result named = named(order.node());
+            Result named = drains.containsKey(order.node()) ? new Result(Kind.DONE, order.node(), List.of())
+                    : named(order.node());
             if (named.kind() != Kind.DONE) {
                 return named;
             }
             if (drains.remove(named.node()) == null) {
                 return new Result(Kind.ALREADY, named.node(), List.of());
             }
-            show(told.get(named.node()));
+            if (told.containsKey(named.node())) {
+                show(told.get(named.node()));
+            }
             return named;
         });
     }
--- a/src/main/java/cypressglade/peer/Peers.java
+++ b/src/main/java/cypressglade/peer/Peers.java
@@ -73,6 +73,7 @@
     private final CountDownLatch learned = new CountDownLatch(1);
     private final Optional<SnapshotStore> store;
     private volatile KeyRing keys;
+    private volatile List<Member> seen = List.of();
 
     // The owner's alone, from the start on.
     private final long life;
@@ -153,6 +154,11 @@
         return Optional.ofNullable(transfers).map(TransferServer::address);
     }
 
+    /** Whom this instance sees, itself first; from any thread, at most a quarter of a second old. */
+    public List<Member> members() {
+        return seen;
+    }
+
     /** Takes the keys of a new configuration; the rest of it changes with a restart. */
     public void use(PeersConfig next) {
         next.talk().ifPresent(talk -> keys = talk.keys());
@@ -268,6 +274,7 @@
 
     /** Told at once when somebody comes: from then on each may send a cold node its part only. */
     private void recount() {
+        seen = swim == null ? List.of() : List.copyOf(swim.list());
         if (swim != null && config.talk().get().shareCold()) {
             Census.Share next = census.count(swim.list(), Time.now());
             if (!next.equals(share)) {
--- a/src/test/java/cypressglade/cli/MainTest.java
+++ b/src/test/java/cypressglade/cli/MainTest.java
@@ -37,6 +37,16 @@
         assertThat(errors.toString()).startsWith("cypressglade: ").contains(why);
     }
 
+    /** Made of the commands as they are, so that it cannot lag behind; bash itself reads it. */
+    @Test
+    void completionNamesEveryCommandAndBashTakesIt() throws Exception {
+        assertThat(run("completion")).isZero();
+        assertThat(out.toString()).contains("console", "undrain) words=", "--follow", "--json", "new-key", "check-config");
+        Process bash = new ProcessBuilder("bash", "-c", out + "COMP_WORDS=(cypressglade events --f); COMP_CWORD=2; "
+                + "_cypressglade; echo \"${COMPREPLY[@]}\"").redirectErrorStream(true).start();
+        assertThat(new String(bash.getInputStream().readAllBytes()).trim()).isEqualTo("--follow");
+    }
+
     /** Guards against a stop that comes before the hook is there, and against the signal's own exit code. */
     @Test
     void sigtermRightAfterTheStartEndsWithZeroAndTheCounters() throws Exception {
--- a/src/test/java/cypressglade/control/ControlTest.java
+++ b/src/test/java/cypressglade/control/ControlTest.java
@@ -105,6 +105,8 @@
         assertThat(view.path("queues").findValuesAsText("class")).containsExactly("job-read", "job-write");
         assertThat(view.path("counters").path("answered_served").asInt()).isEqualTo(1);
         assertThat(view.path("given_up").path("no_node").asInt()).isZero();
+        assertThat(call("settings", Map.of()).path("settings").findValuesAsText("setting"))
+                .contains("discovery", "class job-read", "plan basic");
     }
 
     /** A write that runs ends where it runs, nothing new starts, and nothing of it goes elsewhere. */
