--- a/src/main/java/cypressglade/cli/CompletionCommand.java
+++ b/src/main/java/cypressglade/cli/CompletionCommand.java
@@ -2,6 +2,7 @@
 
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.Parameters;
+import java.io.PrintStream;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.stream.Collectors;
@@ -9,7 +10,7 @@
 
 /** Prints a completion for bash, made of the commands as they are: names, options, and nodes that run. */
 @Parameters(commandDescription = "print a completion script for bash: source <(cypressglade completion)")
-final class CompletionCommand {
+final class CompletionCommand implements Asking {
     private static final String SCRIPT = """
             _cypressglade() {
               local word="${COMP_WORDS[COMP_CWORD]}" words=""
@@ -29,7 +30,14 @@
     /** Where a node is wanted, those that the scheduler knows now. */
     private static final String NODES = " $(cypressglade nodes 2>/dev/null | awk 'NR>1 {print $1}')";
 
-    String script(JCommander commands) {
+    private final JCommander commands;
+
+    CompletionCommand(JCommander commands) {
+        this.commands = commands;
+    }
+
+    @Override
+    public void run(PrintStream out) {
         Map<String, String> options = new TreeMap<>();
         commands.getCommands().forEach((name, command) -> options.put(name, command.getParameters().stream()
                 .flatMap(parameter -> Stream.of(parameter.getParameter().names())).sorted()
@@ -37,6 +45,6 @@
         String cases = options.entrySet().stream().map(command -> "      " + command.getKey() + ") words=\""
                 + command.getValue() + (command.getKey().endsWith("drain") ? NODES : "") + "\" ;;\n")
                 .collect(Collectors.joining());
-        return String.format(SCRIPT, String.join(" ", options.keySet()), cases);
+        out.printf(SCRIPT, String.join(" ", options.keySet()), cases);
     }
 }
--- a/src/main/java/cypressglade/cli/Main.java
+++ b/src/main/java/cypressglade/cli/Main.java
@@ -41,9 +41,6 @@
     @Parameters(commandDescription = "speak the simulator's wire on standard input and output")
     private static final class AdapterCommand { }
 
-    @Parameters(commandDescription = "print a line for a key file of peers, with a key by chance")
-    private static final class NewKeyCommand { }
-
     @Parameters(commandDescription = "print the version")
     private static final class VersionCommand { }
 
@@ -90,20 +87,15 @@
     static int run(String[] args, InputStream in, PrintStream out, PrintStream errors) {
         ServeCommand serve = new ServeCommand();
         CheckConfigCommand check = new CheckConfigCommand();
-        PeersCommand peers = new PeersCommand();
-        // Those that serve must not pay at their start for the classes of those that ask.
-        Map<String, OperatorCommand> operator = args.length > 0 && SERVING.contains(args[0]) ? Map.of()
-                : operatorCommands();
         JCommander commands = JCommander.newBuilder().programName("cypressglade").addCommand("serve", serve)
                 .addCommand("adapter", new AdapterCommand()).addCommand("check-config", check)
-                .addCommand("peers", peers).addCommand("new-key", new NewKeyCommand())
                 .addCommand("version", new VersionCommand()).build();
-        operator.forEach(commands::addCommand);
-        CompletionCommand completion = new CompletionCommand();
-        commands.addCommand("completion", completion);
+        // Those that serve must not pay at their start for the classes of those that ask.
+        boolean serves = args.length > 0 && SERVING.contains(args[0]);
+        Map<String, Asking> asking = serves ? Map.of() : asking(commands);
         try {
             commands.parse(args);
-            OperatorCommand asked = operator.get(commands.getParsedCommand());
+            Asking asked = asking.get(Optional.ofNullable(commands.getParsedCommand()).orElse(""));
             if (asked != null) {
                 asked.run(out);
                 return OK;
@@ -130,18 +122,6 @@
                             + files.control().map(control -> control.socket().toString()).orElse("off"));
                     return check.start && !starts(config, out) ? FAILED : OK;
                 }
-                case "peers" -> {
-                    peers.run(out);
-                    return OK;
-                }
-                case "completion" -> {
-                    out.print(completion.script(commands));
-                    return OK;
-                }
-                case "new-key" -> {
-                    out.println(PeersCommand.newKey());
-                    return OK;
-                }
                 case "version" -> {
                     out.println("cypressglade " + Optional.ofNullable(
                             Main.class.getPackage().getImplementationVersion()).orElse("(unpacked)"));
@@ -151,6 +131,9 @@
             }
         } catch (ParameterException wrong) {
             errors.println("cypressglade: " + wrong.getMessage());
+            if (serves) {
+                asking(commands); // the usage names all
+            }
             StringBuilder usage = new StringBuilder();
             commands.getUsageFormatter().usage(usage);
             errors.print(usage);
@@ -164,17 +147,22 @@
         }
     }
 
-    private static Map<String, OperatorCommand> operatorCommands() {
-        Map<String, OperatorCommand> commands = new LinkedHashMap<>();
-        commands.put("console", new OperatorCommand.ConsoleCommand());
-        commands.put("nodes", new OperatorCommand.Nodes());
-        commands.put("queues", new OperatorCommand.Queues());
-        commands.put("refusals", new OperatorCommand.Refusals());
-        commands.put("settings", new OperatorCommand.SettingsCommand());
-        commands.put("events", new OperatorCommand.EventsCommand());
-        commands.put("drain", new OperatorCommand.Drain());
-        commands.put("undrain", new OperatorCommand.Undrain());
-        return commands;
+    /** Adds the commands that print something and end. */
+    private static Map<String, Asking> asking(JCommander commands) {
+        Map<String, Asking> asking = new LinkedHashMap<>();
+        asking.put("console", new OperatorCommand.ConsoleCommand());
+        asking.put("nodes", new OperatorCommand.Nodes());
+        asking.put("queues", new OperatorCommand.Queues());
+        asking.put("refusals", new OperatorCommand.Refusals());
+        asking.put("settings", new OperatorCommand.SettingsCommand());
+        asking.put("events", new OperatorCommand.EventsCommand());
+        asking.put("drain", new OperatorCommand.Drain());
+        asking.put("undrain", new OperatorCommand.Undrain());
+        asking.put("peers", new PeersCommand());
+        asking.put("new-key", new PeersCommand.NewKey());
+        asking.put("completion", new CompletionCommand(commands));
+        asking.forEach(commands::addCommand);
+        return asking;
     }
 
     /** Starts a scheduler beside whatever runs, and asks it for its health and for a request of no node. */
--- a/src/main/java/cypressglade/cli/OperatorCommand.java
+++ b/src/main/java/cypressglade/cli/OperatorCommand.java
@@ -23,7 +23,7 @@
 import java.util.UUID;
 
 /** A command that asks a running scheduler over its control socket; JSON with {@code --json}, or a table. */
-abstract class OperatorCommand {
+abstract class OperatorCommand implements Asking {
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final Duration STEP = Duration.ofMillis(250);
 
@@ -52,7 +52,8 @@
                         + "turn it on, or name the socket with --socket")) : Path.of(socket);
     }
 
-    void run(PrintStream out) throws ConfigException, IOException {
+    @Override
+    public void run(PrintStream out) throws ConfigException, IOException {
         try (ControlClient client = new ControlClient(socket())) {
             act(client, out);
         }
@@ -120,7 +121,7 @@
     @Parameters(commandDescription = "open the console: nodes, held work, refusals, drains")
     static final class ConsoleCommand extends OperatorCommand {
         @Override
-        void run(PrintStream out) throws ConfigException, IOException {
+        public void run(PrintStream out) throws ConfigException, IOException {
             new Console(socket(), System.getenv()).run(out);
         }
 
--- a/src/main/java/cypressglade/cli/PeersCommand.java
+++ b/src/main/java/cypressglade/cli/PeersCommand.java
@@ -27,7 +27,7 @@
 
 /** Shows whom a running instance knows, and what it learned, by asking it as a peer does. */
 @Parameters(commandDescription = "show the members that a running scheduler sees, and what it learned")
-final class PeersCommand {
+final class PeersCommand implements Asking {
     private static final int KEY_BYTES = 32;
 
     @Parameter(names = "--peers", description = "the file of the talk with other schedulers")
@@ -46,14 +46,18 @@
                 + config.snapshots().map(kept -> ", snapshots in " + kept.directory()).orElse("");
     }
 
-    /** A line of a key file. */
-    static String newKey() {
-        byte[] key = new byte[KEY_BYTES];
-        new SecureRandom().nextBytes(key);
-        return "1 " + HexFormat.of().formatHex(key);
+    @Parameters(commandDescription = "print a line for a key file of peers, with a key by chance")
+    static final class NewKey implements Asking {
+        @Override
+        public void run(PrintStream out) {
+            byte[] key = new byte[KEY_BYTES];
+            new SecureRandom().nextBytes(key);
+            out.println("1 " + HexFormat.of().formatHex(key));
+        }
     }
 
-    void run(PrintStream out) throws ConfigException, IOException {
+    @Override
+    public void run(PrintStream out) throws ConfigException, IOException {
         PeersConfig config = PeersConfigParser.read(Path.of(file)).orElseThrow(() -> new ConfigException(
                 file + ": is not there or says \"enabled\": false; without it there are no peers to show"));
         Talk talk = config.talk().orElseThrow(() -> new ConfigException(
--- a/src/main/java/cypressglade/cli/Serve.java
+++ b/src/main/java/cypressglade/cli/Serve.java
@@ -70,9 +70,10 @@
         nbdNodes = files.nbd().map(front -> new NbdNodeLink(connections, front));
         engine.start(node -> nbdNodes.isPresent() && nbdNodes.get().speaksTo(directory.ready(node))
                 ? nbdNodes.get() : nodes);
+        peers = files.peers().map(file -> new Peers(file, loop, engine, counters)); // before who asks it
         HandDrains drains = new HandDrains(engine::told);
         control = files.control().isEmpty() ? Optional.empty() : Optional.of(new Control(
-                files.control().get(), engine, counters, drains, this::classes,
+                files.control().get(), engine, counters, drains, () -> this.config.settings().classNames(),
                 this::members, () -> InForce.of(this.config, this.files)));
         Consumer<NodeList> lists = control.isPresent() ? drains::told : engine::told;
         lists.accept(config.known());
@@ -83,17 +84,12 @@
                 config.budget());
         blockClients = files.nbd().isEmpty() ? Optional.empty() : Optional.of(new NbdListener(loop,
                 files.nbd().get(), config.settings(), engine, directory, counters, pool, nbdNodes.get()));
-        peers = files.peers().map(file -> new Peers(file, loop, engine, counters));
     }
 
     private List<Member> members() {
         return peers.map(Peers::members).orElse(List.of());
     }
 
-    private List<String> classes() {
-        return config.settings().classes().stream().map(RequestClass::name).toList();
-    }
-
     /**
      * Learns from peers for a bounded time, and opens the doors. Whoever stops the program must be able to
      * from here on.
--- a/src/main/java/cypressglade/config/NbdConfigParser.java
+++ b/src/main/java/cypressglade/config/NbdConfigParser.java
@@ -1,7 +1,6 @@
 package cypressglade.config;
 
 import cypressglade.core.Scheduler.Plan;
-import cypressglade.core.Scheduler.RequestClass;
 import cypressglade.core.Scheduler.Settings;
 import cypressglade.nbd.NbdConfig;
 import cypressglade.nbd.NbdConfig.Export;
@@ -46,7 +45,7 @@
     }
 
     private NbdConfig config() throws ConfigException {
-        List<String> classes = settings.classes().stream().map(RequestClass::name).toList();
+        List<String> classes = settings.classNames();
         List<Export> exports = new ArrayList<>();
         for (int i = 0; i < values.count("exports"); i++) {
             exports.add(export("exports." + i + "."));
--- a/src/main/java/cypressglade/config/PeersConfigParser.java
+++ b/src/main/java/cypressglade/config/PeersConfigParser.java
@@ -75,7 +75,7 @@
         }
         Path keyFile = directory.resolve(values.text("key_file"));
         try {
-            return new Talk(listen, advertised, List.copyOf(seeds), keyFile, KeyRing.read(keyFile),
+            return new Talk(listen, advertised, List.copyOf(seeds), KeyRing.read(keyFile),
                     Duration.ofSeconds(whole("refresh_s", 1, MOST_SPAN_S, 5)),
                     values.flag("share_cold", "true"));
         } catch (IOException unusable) {
--- a/src/main/java/cypressglade/console/Desk.java
+++ b/src/main/java/cypressglade/console/Desk.java
@@ -31,7 +31,6 @@
     /** What a key was for, beyond the screen. */
     sealed interface Wish { }
 
-    /** The command's name stays the same however often it has to be sent. */
     record Drain(String node, String why, boolean force) implements Wish { }
 
     record Undrain(String node) implements Wish { }
--- a/src/main/java/cypressglade/control/Call.java
+++ b/src/main/java/cypressglade/control/Call.java
@@ -27,19 +27,13 @@
         void write(JsonGenerator out) throws IOException;
     }
 
-    static Call parse(byte[] line, int length) throws IOException {
-        Map<String, String> fields = new LinkedHashMap<>();
-        try (JsonParser in = JSON.createParser(line, 0, length)) {
+    static Call parse(byte[] line) throws IOException {
+        Map<String, String> fields;
+        try (JsonParser in = JSON.createParser(line)) {
             if (in.nextToken() != JsonToken.START_OBJECT) {
                 throw new IOException("a line must be one JSON object");
             }
-            while (in.nextToken() == JsonToken.FIELD_NAME) {
-                String name = in.currentName();
-                if (!in.nextToken().isScalarValue() || fields.size() >= MOST_FIELDS) {
-                    throw new IOException("\"" + name + "\" is no plain value, or one too many");
-                }
-                fields.put(name, in.getText());
-            }
+            fields = members(in);
             if (in.nextToken() != null) {
                 throw new IOException("something follows the object");
             }
@@ -53,6 +47,19 @@
         return new Call(fields.getOrDefault("id", ""), fields.get("do"), fields);
     }
 
+    /** The members of the object that the parser has just begun: plain values, by name. */
+    static Map<String, String> members(JsonParser in) throws IOException {
+        Map<String, String> fields = new LinkedHashMap<>();
+        while (in.nextToken() == JsonToken.FIELD_NAME) {
+            String name = in.currentName();
+            if (!in.nextToken().isScalarValue() || fields.size() >= MOST_FIELDS) {
+                throw new IOException("\"" + name + "\" is no plain value, or one too many");
+            }
+            fields.put(name, in.getText());
+        }
+        return fields;
+    }
+
     String field(String name) {
         return fields.getOrDefault(name, "");
     }
--- a/src/main/java/cypressglade/control/ControlServer.java
+++ b/src/main/java/cypressglade/control/ControlServer.java
@@ -275,7 +275,7 @@
 
         private void take(byte[] line) {
             try {
-                Call call = Call.parse(line, line.length);
+                Call call = Call.parse(line);
                 if (call.what().equals("watch")) {
                     watching = true;
                     nextFrame = clock.get();
--- a/src/main/java/cypressglade/control/DrainFile.java
+++ b/src/main/java/cypressglade/control/DrainFile.java
@@ -9,7 +9,6 @@
 import java.time.DateTimeException;
 import java.time.Instant;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 
@@ -47,12 +46,7 @@
                 throw new IOException("no list of drains");
             }
             while (in.nextToken() == JsonToken.START_OBJECT) {
-                Map<String, String> fields = new HashMap<>();
-                while (in.nextToken() == JsonToken.FIELD_NAME) {
-                    String name = in.currentName();
-                    in.nextToken();
-                    fields.put(name, in.getText());
-                }
+                Map<String, String> fields = Call.members(in);
                 drains.add(new HandDrain(fields.getOrDefault("node", ""),
                         Instant.parse(fields.get("started")), fields.getOrDefault("who", ""),
                         Instant.parse(fields.get("when")),
--- a/src/main/java/cypressglade/core/Scheduler.java
+++ b/src/main/java/cypressglade/core/Scheduler.java
@@ -164,6 +164,10 @@
             List<RequestClass> classes, List<Plan> plans, List<String> loadNames, Limits limits,
             double meanUnits, double mostUnits, double fairWorth, double spareWorth, long meterUs,
             boolean tellsOthers) {
+        public List<String> classNames() {
+            return classes.stream().map(RequestClass::name).toList();
+        }
+
         /** The same for one instance of a tier of another size. */
         public Settings among(int newRank, int newHeads) {
             return new Settings(seed, newRank, newHeads, zone, listOnRequest, tickUs, classes, plans,
--- a/src/main/java/cypressglade/learn/Learner.java
+++ b/src/main/java/cypressglade/learn/Learner.java
@@ -11,7 +11,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.stream.Stream;
 
 /**
@@ -28,6 +27,8 @@
     private static final Duration FRESH = Duration.ofMillis(600);
     /** Between two hints on one node: each takes its window back to the start. */
     private static final Duration HINT_GAP = Duration.ofSeconds(1);
+    /** What is seen to be silent for the first time. */
+    private static final Duration LEAST_SILENCE = Duration.ofMillis(1);
     /** A taught pace has held where the own one is within this factor. */
     private static final double HELD_FACTOR = 3;
     private static final int ANSWERS_TO_JUDGE = 4;
@@ -42,8 +43,7 @@
 
     private final Origin self;
     private final Hearsay hearsay;
-    private final Map<String, Word> own = new LinkedHashMap<>();
-    private final Map<String, Instant> silentSince = new HashMap<>();
+    private Map<String, Word> own = new LinkedHashMap<>();
     private final Map<String, Given> given = new HashMap<>();
     private final Map<Origin, Double> standing = new LinkedHashMap<>();
     private final Map<Count, Long> counts = new EnumMap<>(Count.class);
@@ -86,7 +86,7 @@
     private Count judge(Word word, Instant now) {
         if (word.origin().life() == self.life()) {
             return Count.WORDS_ECHOED; // what this instance said is no evidence to it
-        } else if (word.fault(now).isPresent()) {
+        } else if (!word.plausible(now)) {
             return Count.WORDS_REFUSED;
         } else if (word.age(now).compareTo(Trust.LIFE) > 0) {
             return Count.WORDS_AGED_OUT;
@@ -101,17 +101,14 @@
     /** Takes in the module's views: makes own words of them, and judges by them what was taught. */
     public void own(List<NodeFact> facts, Instant now) {
         counts.merge(Count.WORDS_AGED_OUT, (long) hearsay.forget(now), Long::sum);
-        Map<String, Instant> stillSilent = new HashMap<>();
         Map<String, Word> words = new LinkedHashMap<>();
         for (NodeFact fact : facts) {
             NodeView view = fact.view();
             String id = fact.known().id();
             Word before = own.get(id);
-            Instant since = silentSince.get(id);
             if (!view.guarded() && view.silent()) {
-                since = since == null ? now : since;
-                stillSilent.put(id, since);
-                Duration silentFor = Duration.between(since, now).plusMillis(1);
+                Duration silentFor = before != null && before.silent()
+                        ? before.silentFor().plus(before.age(now)) : LEAST_SILENCE;
                 words.put(id, Word.own(id, view, silentFor, now, self));
             } else if (!view.guarded() && view.answeredAgoUs() >= 0) {
                 Duration ago = Duration.ofNanos(view.answeredAgoUs() * 1000);
@@ -120,20 +117,14 @@
                         ? Word.own(id, view, Duration.ZERO, now.minus(ago), self) : before);
             } else if (before != null && before.startedUs() == view.startedUs()
                     && !(before.silent() && seenSince(before.at(), view, now))) {
-                words.put(id, before);
-            }
-            if (since != null && words.containsKey(id) && words.get(id).silent()) {
                 // The module holds a node for silent only while something is out there. Until a sign of life
                 // comes the word stands, at the age of what it was seen by.
-                stillSilent.putIfAbsent(id, since);
+                words.put(id, before);
             }
             judge(fact);
         }
         words.values().removeIf(word -> word.age(now).compareTo(Trust.LIFE) > 0);
-        own.clear();
-        own.putAll(words);
-        silentSince.clear();
-        silentSince.putAll(stillSilent);
+        own = words;
         given.keySet().retainAll(facts.stream().map(fact -> fact.known().id()).toList());
     }
 
@@ -147,13 +138,13 @@
         if (hint == null || hint.judged() || view.guarded()) {
             return;
         }
-        double ratio = view.paceUs() / hint.taught().paceUs();
-        boolean enough = view.answers() >= ANSWERS_TO_JUDGE;
-        if (view.silent() == hint.taught().silent() && !view.silent() && !enough) {
-            return; // the silence did not hold or was not taught; the pace is judged by a few answers
+        boolean bothAnswer = !view.silent() && !hint.taught().silent();
+        if (bothAnswer && view.answers() < ANSWERS_TO_JUDGE) {
+            return; // the pace is judged by a few answers
         }
-        boolean held = view.silent() == hint.taught().silent()
-                && (view.silent() || ratio < HELD_FACTOR && ratio > 1 / HELD_FACTOR);
+        double ratio = view.paceUs() / hint.taught().paceUs();
+        boolean held = bothAnswer ? ratio < HELD_FACTOR && ratio > 1 / HELD_FACTOR
+                : view.silent() == hint.taught().silent();
         counts.merge(held ? Count.HINTS_CONFIRMED : Count.HINTS_CONTRADICTED, 1L, Long::sum);
         hint.taught().origins().forEach(origin -> standing.put(origin, Trust.after(standing(origin), held)));
         while (standing.size() > MOST_ORIGINS) {
@@ -205,12 +196,6 @@
                 .sorted(Comparator.comparing(Word::at).reversed()).limit(most).toList();
     }
 
-    /** The word that counts most on a node: the own one, or else the youngest that others told. */
-    public Optional<Word> latest(String node) {
-        return Optional.ofNullable(own.get(node))
-                .or(() -> hearsay.of(node).stream().max(Comparator.comparing(Word::at)));
-    }
-
     /** How many words of others are kept. */
     public int kept() {
         return hearsay.size();
--- a/src/main/java/cypressglade/learn/Word.java
+++ b/src/main/java/cypressglade/learn/Word.java
@@ -3,7 +3,6 @@
 import cypressglade.core.Scheduler.NodeView;
 import java.time.Duration;
 import java.time.Instant;
-import java.util.Optional;
 
 /**
  * What one instance found of one node by its own answers.
@@ -43,22 +42,22 @@
         return age.isNegative() ? Duration.ZERO : age;
     }
 
-    /** Why the word cannot be used, naming the figure; nothing where it can. */
-    public Optional<String> fault(Instant now) {
-        return Optional.ofNullable(name(node) ? "node" : name(origin.name()) ? "origin"
-                : outside(paceUs, MOST_US) || paceUs == 0 ? "pace" : outside(backlogUs, MOST_US) ? "backlog"
-                : outside(strain, MOST_STRAIN) ? "strain" : outside(errors, 1) ? "errors"
-                : answers < 0 ? "answers" : startedUs < 0 || startedUs > MOST_START_US ? "start"
-                : silentFor.isNegative() || silentFor.compareTo(MOST_SPAN) > 0 ? "silence"
-                : at.isAfter(now) || at.isBefore(now.minus(MOST_SPAN)) ? "age" : null);
+    /** Whether all of it makes sense; not whether it is true. */
+    public boolean plausible(Instant now) {
+        return name(node) && name(origin.name())
+                && within(paceUs, MOST_US) && paceUs > 0 && within(backlogUs, MOST_US)
+                && within(strain, MOST_STRAIN) && within(errors, 1)
+                && answers >= 0 && startedUs >= 0 && startedUs <= MOST_START_US
+                && !silentFor.isNegative() && silentFor.compareTo(MOST_SPAN) <= 0
+                && !at.isAfter(now) && !at.isBefore(now.minus(MOST_SPAN));
     }
 
     private static boolean name(String text) {
-        return text.isEmpty() || text.length() > MOST_NAME;
+        return !text.isEmpty() && text.length() <= MOST_NAME;
     }
 
-    /** NaN compares as false, so that it is outside. */
-    private static boolean outside(double value, double most) {
-        return !(value >= 0 && value <= most);
+    /** Not so for NaN, which compares as false. */
+    private static boolean within(double value, double most) {
+        return value >= 0 && value <= most;
     }
 }
--- a/src/main/java/cypressglade/member/Swim.java
+++ b/src/main/java/cypressglade/member/Swim.java
@@ -136,7 +136,6 @@
     /** Does what is due. */
     public void tick(Instant now) {
         if (self.state() == State.LEFT) {
-            nextProbe = nextReconnect = nextExchange = Instant.MAX;
             return;
         }
         if (probe != null && probe.waits() && !now.isBefore(probe.nextAt)) {
--- a/src/main/java/cypressglade/member/Timing.java
+++ b/src/main/java/cypressglade/member/Timing.java
@@ -1,7 +1,6 @@
 package cypressglade.member;
 
 import java.time.Duration;
-import java.util.List;
 
 /**
  * The figures of the protocol.
@@ -61,10 +60,4 @@
     Duration keepLost() {
         return period.multipliedBy(KEEP_LOST);
     }
-
-    /** The figures that cannot be worked with, or nothing. */
-    public List<String> faults() {
-        return period.isNegative() || period.isZero() || answer.multipliedBy(3).compareTo(period) > 0
-                ? List.of("the period must be at least three times the wait for an answer") : List.of();
-    }
 }
--- a/src/main/java/cypressglade/operate/HandDrains.java
+++ b/src/main/java/cypressglade/operate/HandDrains.java
@@ -5,15 +5,14 @@
 import cypressglade.core.NodeList.Entry;
 import cypressglade.core.Scheduler.State;
 import java.time.Instant;
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 
 /**
  * Drains by hand over what the sources tell. A drain holds for one run of one node, whatever the sources say
@@ -170,16 +169,12 @@
 
     /** Takes in the views: a drain is done when nothing is out or held there. Returns the newly done. */
     public synchronized List<HandDrain> seen(List<NodeFact> facts) {
-        List<HandDrain> done = new ArrayList<>();
-        drains.replaceAll((id, drain) -> {
-            Optional<NodeFact> busy = facts.stream().filter(fact -> fact.known().id().equals(id)
-                    && (fact.view().outUnits() > 0 || fact.view().held() > 0)).findAny();
-            if (drain.done() || busy.isPresent()) {
-                return drain;
-            }
-            done.add(drain.ended());
-            return drain.ended();
-        });
+        Set<String> busy = facts.stream().filter(fact -> fact.view().outUnits() > 0 || fact.view().held() > 0)
+                .map(fact -> fact.known().id()).collect(Collectors.toSet());
+        List<HandDrain> done = drains.values().stream()
+                .filter(drain -> !drain.done() && !busy.contains(drain.node())).map(HandDrain::ended)
+                .toList();
+        done.forEach(drain -> drains.put(drain.node(), drain));
         return done;
     }
 
--- a/src/main/java/cypressglade/peer/Peers.java
+++ b/src/main/java/cypressglade/peer/Peers.java
@@ -57,7 +57,7 @@
     private static final int MEMBERS_A_FRAME = 200;
     private static final int BIND_TRIES = 8;
     private static final int MOST_HELD = 64;
-    private static final int MOST_SHORT_ANSWERS = 50; // a second: to unknown lives and versions
+    private static final int MOST_SHORT_ANSWERS = 50; // between two looks: to unknown lives and versions
 
     private final PeersConfig config;
     private final Loop loop;
@@ -73,7 +73,7 @@
     private final CountDownLatch learned = new CountDownLatch(1);
     private final Optional<SnapshotStore> store;
     private volatile KeyRing keys;
-    private volatile List<Member> seen = List.of();
+    private volatile List<Member> members = List.of();
 
     // The owner's alone, from the start on.
     private final long life;
@@ -156,7 +156,7 @@
 
     /** Whom this instance sees, itself first; from any thread, at most a quarter of a second old. */
     public List<Member> members() {
-        return seen;
+        return members;
     }
 
     /** Takes the keys of a new configuration; the rest of it changes with a restart. */
@@ -208,6 +208,20 @@
         }
     }
 
+    /** Hands over what came from outside; false, and counted, where too much waits: bounds memory. */
+    private boolean enqueue(Runnable task) {
+        if (waiting.incrementAndGet() > MOST_WAITING) {
+            waiting.decrementAndGet();
+            counters.add(Name.PEER_DROPPED);
+            return false;
+        }
+        execute(() -> {
+            waiting.decrementAndGet();
+            task.run();
+        });
+        return true;
+    }
+
     /** A fault in one event must not end those to come. */
     private Runnable guarded(Runnable task) {
         return () -> {
@@ -258,7 +272,6 @@
     private void tick() {
         Instant now = Time.now();
         swim.tick(now);
-        shortAnswers = Math.max(0, shortAnswers - 1);
         if (!closed) {
             long wait = Math.max(1, Time.until(swim.due()).toMillis());
             owner.schedule(guarded(this::tick), wait, TimeUnit.MILLISECONDS);
@@ -274,7 +287,7 @@
 
     /** Told at once when somebody comes: from then on each may send a cold node its part only. */
     private void recount() {
-        seen = swim == null ? List.of() : List.copyOf(swim.list());
+        members = swim == null ? List.of() : List.copyOf(swim.list());
         if (swim != null && config.talk().get().shareCold()) {
             Census.Share next = census.count(swim.list(), Time.now());
             if (!next.equals(share)) {
@@ -349,16 +362,9 @@
 
     /** On the I/O thread. */
     private void asked(byte[] question, long nonce, TransferServer.Reply reply) {
-        if (waiting.incrementAndGet() > MOST_WAITING) {
-            waiting.decrementAndGet();
-            counters.add(Name.PEER_DROPPED);
+        if (!enqueue(() -> reply.accept(answer(question, nonce)))) {
             reply.accept(List.of());
-            return;
         }
-        execute(() -> {
-            waiting.decrementAndGet();
-            reply.accept(answer(question, nonce));
-        });
     }
 
     private List<byte[]> answer(byte[] question, long nonce) {
@@ -415,15 +421,7 @@
 
     /** On the I/O thread. */
     private void received(InetSocketAddress from, byte[] datagram) {
-        if (waiting.incrementAndGet() > MOST_WAITING) { // bounds memory under a flood
-            waiting.decrementAndGet();
-            counters.add(Name.PEER_DROPPED);
-            return;
-        }
-        execute(() -> {
-            waiting.decrementAndGet();
-            take(from, datagram);
-        });
+        enqueue(() -> take(from, datagram));
     }
 
     private void take(InetSocketAddress from, byte[] datagram) {
--- a/src/main/java/cypressglade/peer/PeersConfig.java
+++ b/src/main/java/cypressglade/peer/PeersConfig.java
@@ -25,8 +25,7 @@
      * @param shareCold whether what all instances may send to a cold node is shared among who is there
      */
     public record Talk(InetSocketAddress listen, Optional<InetSocketAddress> advertised,
-            List<InetSocketAddress> seeds, Path keyFile, KeyRing keys, Duration refresh,
-            boolean shareCold) { }
+            List<InetSocketAddress> seeds, KeyRing keys, Duration refresh, boolean shareCold) { }
 
     /** Snapshots: the directory, how often one is written, and how old one may be to be read. */
     public record Snapshots(Path directory, Duration every, Duration mostAge) { }
--- a/src/test/java/cypressglade/peer/CodecTest.java
+++ b/src/test/java/cypressglade/peer/CodecTest.java
@@ -94,7 +94,7 @@
                 bad[random.nextInt(bad.length)] = (byte) random.nextInt();
             }
             try {
-                Codec.transfer(bad, NOW).words().forEach(word -> word.fault(NOW));
+                Codec.transfer(bad, NOW).words().forEach(word -> word.plausible(NOW));
                 Codec.envelope(bad);
             } catch (IOException unreadable) {
                 refused++;
--- a/src/test/java/cypressglade/peer/PeersTest.java
+++ b/src/test/java/cypressglade/peer/PeersTest.java
@@ -68,7 +68,7 @@
     }
 
     private PeersConfig talking(String name, Duration wait, InetSocketAddress... seeds) {
-        return new PeersConfig(name, Optional.of(new PeersConfig.Talk(ANY, Optional.empty(), List.of(seeds), Path.of("k"),
+        return new PeersConfig(name, Optional.of(new PeersConfig.Talk(ANY, Optional.empty(), List.of(seeds),
                 keys, Duration.ofSeconds(1), true)), Optional.empty(), 100, wait);
     }
 
--- a/src/test/java/cypressglade/standin/StorageNode.java
+++ b/src/test/java/cypressglade/standin/StorageNode.java
@@ -2,7 +2,6 @@
 
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
-import java.io.IOException;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.Semaphore;
@@ -26,7 +25,7 @@
     }
 
     @Override
-    protected void talk(DataInputStream in, DataOutputStream out) throws IOException, InterruptedException {
+    protected void talk(DataInputStream in, DataOutputStream out) throws Exception {
         while (true) {
             HttpPeer.Message request = HttpPeer.Message.read(in);
             boolean probe = request.first().startsWith("GET /healthz");
@@ -47,7 +46,7 @@
                     lanes.release();
                 }
             }
-            HttpPeer.write(out, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+            HttpPeer.answer(200, "", "ok").answer(request, out);
         }
     }
 
