--- a/deploy/run.sh
+++ b/deploy/run.sh
@@ -2,8 +2,23 @@
 # Starts one scheduler from the repository's root, in the sizes that limits.memory_mb of its configuration allows
 # (192 where it names none): a quarter for the heap, a sixteenth for direct buffers. The README has the arithmetic.
 # The heap is touched whole at the start, so that memory in use is level from then on. One malloc arena keeps the
-# request threads from holding one each.
-memory=$(sed -n 's/.*"memory_mb"[^0-9]*\([0-9]\{2,6\}\).*/\1/p' "${ROUTER_CONFIG:-deploy/config.example.json}" | head -n 1)
+# request threads from holding one each. Shell builtins only, and no subshells: the platform's fleet refuses fork.
+config=${ROUTER_CONFIG:-deploy/config.example.json}
+memory=
+if [ ! -r "$config" ]; then
+  echo "run.sh: $config cannot be read; ROUTER_CONFIG names the configuration" >&2
+  exit 2
+fi
+while IFS= read -r line || [ -n "$line" ]; do
+  case $line in
+    *'"memory_mb"'*)
+      line=${line#*'"memory_mb"'}
+      line=${line#"${line%%[0-9]*}"}
+      memory=${line%%[!0-9]*}
+      break ;;
+  esac
+done < "$config"
+[ -n "$memory" ] || echo "run.sh: $config names no limits.memory_mb, taking 192" >&2
 memory=${memory:-192}
 [ "$memory" -lt 256 ] || memory=256
 export MALLOC_ARENA_MAX=1
