--- a/deploy/run.sh
+++ b/deploy/run.sh
@@ -2,7 +2,8 @@
 # Starts one scheduler from the repository's root, in the sizes that limits.memory_mb of its configuration allows
 # (192 where it names none): a quarter for the heap, a sixteenth for direct buffers. The README has the arithmetic.
 # The heap is touched whole at the start, so that memory in use is level from then on. One malloc arena keeps the
-# request threads from holding one each. Shell builtins only, and no subshells: the platform's fleet refuses fork.
+# request threads from holding one each. The JVM is told that it has one core, as it has: it would start several
+# compiler threads and wait by spinning otherwise, which on part of a core is time taken from the work. Shell builtins only, and no subshells: the platform's fleet refuses fork.
 config=${ROUTER_CONFIG:-deploy/config.example.json}
 memory=
 if [ ! -r "$config" ]; then
@@ -22,7 +23,7 @@
 memory=${memory:-192}
 [ "$memory" -lt 256 ] || memory=256
 export MALLOC_ARENA_MAX=1
-exec java -XX:SharedArchiveFile=target/cypressglade.jsa -Xlog:cds=off -Xlog:cds+dynamic=off -XX:+UseSerialGC \
-  -XX:TieredStopAtLevel=1 -XX:-UsePerfData -XX:+AlwaysPreTouch -Xms$((memory / 4))m -Xmx$((memory / 4))m -Xss256k \
-  -XX:MaxDirectMemorySize=$((memory / 16))m -XX:ReservedCodeCacheSize=12m -XX:MaxMetaspaceSize=28m \
-  -jar target/cypressglade.jar serve "$@"
+exec java -XX:ActiveProcessorCount=1 -XX:SharedArchiveFile=target/cypressglade.jsa -Xlog:cds=off \
+  -Xlog:cds+dynamic=off -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -XX:-UsePerfData -XX:+AlwaysPreTouch \
+  -Xms$((memory / 4))m -Xmx$((memory / 4))m -Xss256k -XX:MaxDirectMemorySize=$((memory / 16))m \
+  -XX:ReservedCodeCacheSize=12m -XX:MaxMetaspaceSize=28m -jar target/cypressglade.jar serve "$@"
--- a/src/main/java/cypressglade/cli/Rehearsal.java
+++ b/src/main/java/cypressglade/cli/Rehearsal.java
@@ -9,6 +9,7 @@
 import cypressglade.core.RequestPool;
 import cypressglade.core.Scheduler.Plan;
 import cypressglade.core.Scheduler.RequestClass;
+import cypressglade.core.Scheduler.Settings;
 import cypressglade.core.Scheduler.State;
 import cypressglade.http.ClientListener;
 import cypressglade.http.NodeClient;
@@ -32,8 +33,14 @@
  * times the work, and half of those of the first seconds were refused. The parts that serve learn nothing.
  */
 final class Rehearsal {
-    private static final int REQUESTS = 500;
+    private static final int MOST_REQUESTS = 500;
     private static final int LANES = 8;
+    /** Requests that a node serves in the tightest aim, at the load that nodes are meant to bear. */
+    private static final double IN_AIM = 12;
+    /** What comes in so many seconds is worth rehearsing; one who waits for the doors loses more. */
+    private static final double SECONDS = 2.5;
+    /** So many requests run nearly every piece of code once. */
+    private static final int LEAST_REQUESTS = LANES;
     private static final Duration MOST = Duration.ofMillis(2500);
     /** For what is still open then. */
     private static final Duration LAST = Duration.ofMillis(300);
@@ -42,6 +49,8 @@
             .getBytes(StandardCharsets.US_ASCII);
 
     private final Config config;
+    private final int requests;
+    private final List<Plan> plans;
     private final CountDownLatch lanes = new CountDownLatch(LANES);
     private volatile boolean timeIsUp;
     private int asked;
@@ -49,6 +58,23 @@
 
     private Rehearsal(Config config) {
         this.config = config;
+        requests = requests(config.settings(), config.known().entries().size());
+        // Work of a plan with a limit waits for its volume's store to fill: time without a gain.
+        List<Plan> all = config.settings().plans();
+        List<Plan> unlimited = all.stream().filter(plan -> plan.limitRate() <= 0).toList();
+        plans = unlimited.isEmpty() ? all : unlimited;
+    }
+
+    /**
+     * As many as will come in the first seconds. Where many schedulers share the work, each request that is
+     * rehearsed keeps the doors closed for longer than its later, quicker answer is worth: after a mass
+     * kill all of them are away at once.
+     */
+    static int requests(Settings settings, int nodes) {
+        double tightest = settings.classes().stream().mapToLong(RequestClass::aimUs).min().orElse(1);
+        double aims = SECONDS * Micros.of(Duration.ofSeconds(1)) / Math.max(1, tightest);
+        double coming = nodes * IN_AIM / settings.heads() * aims;
+        return (int) Math.max(LEAST_REQUESTS, Math.min(MOST_REQUESTS, coming));
     }
 
     /** Plays all requests, or as many as the time allows; returns how many were answered. */
@@ -124,7 +150,6 @@
         private void ask() {
             int number = asked++;
             List<RequestClass> classes = config.settings().classes();
-            List<Plan> plans = config.settings().plans();
             RequestClass type = classes.get(number % classes.size());
             String body = type.write() ? "x".repeat(200) : "";
             wire.send(ByteBuffer.wrap(((type.write() ? "PUT /" : "GET /") + type.name()
@@ -139,7 +164,7 @@
         @Override
         public void received(ByteBuffer in) {
             answered++;
-            if (asked < REQUESTS && !timeIsUp) {
+            if (asked < requests && !timeIsUp) {
                 ask();
             } else {
                 lanes.countDown();
--- a/src/main/java/cypressglade/config/SettingsParser.java
+++ b/src/main/java/cypressglade/config/SettingsParser.java
@@ -48,7 +48,7 @@
                 text("discovery").equals("on_request"), time("tickUs"), classes(), plans(),
                 list("report.names"), limits(), number("specifics.unitMean"), number("specifics.unitsTop"),
                 number("specifics.fairWorth"), number("specifics.idleWorth"), time("specifics.meterPeriodUs"),
-                flag("specifics.countsOthers"));
+                flag("specifics.countsOthers"), Math.max(0, number("tariffs.probe")));
     }
 
     private Limits limits() throws ConfigException {
@@ -59,7 +59,8 @@
                         || values.containsKey("rules.freeResends"),
                 number("rules.freeResends"), number("rules.furtherRatio"), time("rules.budgetWindowUs"),
                 number("rules.coldFrom"), time("rules.rampTimeUs"), number("rules.overloadFactor"),
-                time("rules.fallUs"), number("specifics.youngLimit"), time("rules.turnGapUs"));
+                time("rules.fallUs"), number("specifics.youngLimit"), time("rules.turnGapUs"),
+                Math.max(1, whole("limits.streamsPerConn")));
     }
 
     private List<RequestClass> classes() throws ConfigException {
--- a/src/main/java/cypressglade/core/Brain.java
+++ b/src/main/java/cypressglade/core/Brain.java
@@ -26,6 +26,7 @@
     private static final double AVERAGE_SMOOTHING = 0.02; // the same for the average over all nodes
     private static final double FIRST_ANSWERS = 4; // answers that the value at the start counts as
     private static final long FRESH_US = 150_000; // what was heard of a node within this needs no probe
+    private static final double PRICE_US = 13_600_000; // the same by a probe's price: what is dear is rarer
     private static final long ASK_WAIT_US = 30_000; // longest wait for a probe before a decision
     private static final double NO_ANSWER_TIMES = 4; // backlog if no probe comes back, in waits for it
     private static final double PROBE_TRUST = 0.7; // weight of a probe's time in the backlog
@@ -36,6 +37,7 @@
     private static final double LATENCY_MEANS = 0.3; // latency apart from units, in mean requests
     private static final double SAME_KEY_PART = 0.4; // work of a piece that the node has just taken
     private static final int RECENT_KEYS = 3; // pieces that a node is taken to remember
+    private static final double CONNECTIONS = 28; // all heads' at a node, which holds few; one each at least
     private static final double AIM_PART = 0.5; // part of the tightest aim that the units out may take
     private static final double LEAST_OUT = 12; // requests that all heads together may always have out
     private static final double CEILING_MEANS = 16; // most units out at a node, in mean requests
@@ -63,9 +65,11 @@
     private static final long SILENT_US = 350_000; // nothing back for this: longer than healthy pauses
     private static final double SILENT_TIMES = 3; // and so many times the expected answer
     private static final double ERROR_TIMES = 20; // how much a node in error is shunned by new objects
-    private static final long TEST_GAP_US = 250_000; // between tests of a silent node
+    private static final long TEST_GAP_US = 62_500; // between tests of a silent node by heads in turn
     private static final double TURN_BY_RANK = 0.618034; // golden section: spreads ranks evenly over turns
     private static final double TURN_PART = 0.8; // of what all may send: chance gives some windows more
+    private static final double COLD_PART = 0.4; // of what a cold node falls over at, as nodes are seen
+    private static final int COLD_ANSWERS = 20; // answers from which that is known
     private static final double TURN_BY_WINDOW = 0.754878; // and windows, out of step with the ranks
     private static final double DEMAND_US = 5_000_000; // memory of what this head is asked for
     private static final long FULL_REST_US = 30_000; // rest after a node turned a request away
@@ -73,8 +77,7 @@
     private static final long LEAST_ADVICE_US = 50_000; // shortest advice to a refused client
     private static final long WATCH_AGAIN_US = 500_000; // before asking again for a failed list
 
-    private static final long TICK = 1;
-    private static final long WATCH = 2;
+    private static final long TICK = 1, WATCH = 2;
 
     private Settings settings;
     private Limits limits;
@@ -86,17 +89,14 @@
     private final Map<Long, Volume> volumes = new LinkedHashMap<>();
     private final Map<Long, ArrayDeque<Held>> turns = new HashMap<>();
     private final Map<Long, Long> keyRests = new HashMap<>();
-    private final ArrayDeque<Long> taken = new ArrayDeque<>();
-    private final ArrayDeque<Long> further = new ArrayDeque<>();
+    private final ArrayDeque<Long> taken = new ArrayDeque<>(), further = new ArrayDeque<>();
     private final LinkedHashMap<Long, Held> turnedAway = new LinkedHashMap<>();
-    private long tightestAim;
-    private int leastOut, queueAt;
-    private double leastWorth, mostWorth, topWorth;
+    private int leastOut, mostOut, queueAt, answers, heldCount, outCount;
     private final long bornAt;
     private double averagePace = START_PACE_US, averageStrain = START_STRAIN, averageBacklog;
+    private double leastWorth, mostWorth, topWorth;
     private double meanExcess, asked; // units beyond the reserves of a volume, and all that was asked for
-    private long averageAt, askedAt, excessAt;
-    private int answers, heldCount, outCount;
+    private long averageAt, askedAt, excessAt, tightestAim, freshUs, testGapUs;
     private final long[] givenUp = new long[Reason.values().length];
     private boolean ticking;
 
@@ -124,6 +124,9 @@
         double dearest = settings.plans().stream().mapToDouble(Plan::worthFactor).max().orElse(1);
         topWorth = Math.max(mostWorth * dearest, Double.MIN_NORMAL);
         leastOut = (int) Math.max(1, Math.round(LEAST_OUT / settings.heads()));
+        mostOut = (int) Math.max(1, CONNECTIONS / settings.heads() * limits.streams());
+        freshUs = Math.max(FRESH_US, (long) (settings.probePrice() * PRICE_US));
+        testGapUs = TEST_GAP_US * Math.max(4, settings.heads());
     }
 
     // ---- events
@@ -230,7 +233,7 @@
         }
         node.probedAt = Long.MIN_VALUE;
         if (status == Status.OK) {
-            node.trustedUntil = now + FRESH_US;
+            node.trustedUntil = now + freshUs;
             node.down = false;
             node.seenAt = now;
             double queue = queueAt >= 0 && load.length > queueAt ? load[queueAt] : 0;
@@ -357,7 +360,7 @@
         double wait = Math.max(2 * TICK_US,
                 held.volume.limitWait(now, held.volume.pending + held.request.units()));
         if (node == null || !usable(now, node)) {
-            giveUp(now, held, 2 * TEST_GAP_US, node == null ? Reason.NO_NODE : Reason.SILENT);
+            giveUp(now, held, 2 * testGapUs, node == null ? Reason.NO_NODE : Reason.SILENT);
         } else if (held.aim < now + LEAST_AIM_PART * held.type.aimUs()) {
             // Past the aim of the first try a repeat earns little, yet costs as much. Covers every overload
             // in which clients ask again; may hurt where late answers are worth much.
@@ -397,7 +400,7 @@
      * waits. Covers crowds, pauses and silence that begin between two requests; costs a probe and its way.
      */
     private boolean askFirst(long now, Node node, Held held) {
-        boolean known = now - node.seenAt < FRESH_US && node.seenAt != Long.MIN_VALUE && usable(now, node);
+        boolean known = now - node.seenAt < freshUs && node.seenAt != Long.MIN_VALUE && usable(now, node);
         if (!limits.probes() || held.asked || known || now + 2 * ASK_WAIT_US > held.due) {
             return false;
         }
@@ -405,7 +408,7 @@
         node.parked.add(held);
         held.parkedAt = now;
         heldCount++;
-        if (node.probedAt == Long.MIN_VALUE || now - node.probedAt > TEST_GAP_US) {
+        if (node.probedAt == Long.MIN_VALUE || now - node.probedAt > testGapUs) {
             node.probedAt = now;
             actions.probe(node.address);
         }
@@ -553,10 +556,11 @@
     private boolean fits(long now, Node node, Held held) {
         if (held.background) {
             double quiet = node.backlog(now) + (node.outUnits + settings.meanUnits()) * node.pace(now);
-            return quiet <= BACKGROUND_PART * slack(now, node, held.worth) * tightestAim;
+            return quiet <= BACKGROUND_PART * slack(now, node, held.worth) * tightestAim
+                    && node.out.size() < mostOut;
         }
         return node.out.size() < (node.guarded ? 1 : leastOut)
-                || node.outUnits + held.work <= node.bound(now);
+                || node.out.size() < mostOut && node.outUnits + held.work <= node.bound(now);
     }
 
     /** Whether the rules on limits and order let this request go now. */
@@ -740,7 +744,7 @@
     }
 
     private void testSilent(long now, Node node) {
-        if (node.ready && now - node.testedAt >= TEST_GAP_US && silent(now, node)) {
+        if (node.ready && now - node.testedAt >= testGapUs && silent(now, node)) {
             node.testedAt = now;
             node.trustedUntil = limits.probes() ? node.trustedUntil : now + FRESH_US;
             if (limits.probes()) {
@@ -910,7 +914,13 @@
                 return Double.MAX_VALUE;
             }
             double growth = limits.coldFrom() > 0 ? 1 / limits.coldFrom() - 1 : 0;
-            double all = limits.youngUnits() * (1 + growth * Math.max(0, age) / limits.rampUs());
+            double warmth = 1 + growth * Math.max(0, age) / limits.rampUs();
+            double all = limits.youngUnits() * warmth;
+            if (Brain.this.answers >= COLD_ANSWERS) {
+                double paced = Math.max(averagePace / (limits.coldFrom() * warmth),
+                        answers < FIRST_ANSWERS ? 0 : pace(now));
+                all = Math.max(all, COLD_PART * limits.overloadFactor() * limits.fallUs() / paced);
+            }
             double room = all / settings.heads();
             if (room < settings.mostUnits()) {
                 double seen = DEMAND_US * (1 - Math.exp(-(now - bornAt + limits.fallUs()) / DEMAND_US));
--- a/src/main/java/cypressglade/core/Scheduler.java
+++ b/src/main/java/cypressglade/core/Scheduler.java
@@ -153,17 +153,21 @@
     record Plan(String name, double baseRate, double reserveRate, double weight, double worthFactor,
             double limitRate, double limitBurst, double limitSlack) { }
 
-    /** What the rules and the site permit; an absent figure is 0 and an absent permission false. */
+    /**
+     * What the rules and the site permit; an absent figure is 0 and an absent permission false.
+     * {@code streams} is how many attempts one connection carries at once.
+     */
     record Limits(int attempts, boolean cancel, boolean probes, boolean peers, boolean secondCopies,
             boolean retryAfter, long maxRetryAfterUs, long stopSendingWithinUs, long askWithinUs,
             boolean budget, double freeResends, double furtherRatio, long budgetWindowUs, double coldFrom,
-            long rampUs, double overloadFactor, long fallUs, double youngUnits, long turnGapUs) { }
+            long rampUs, double overloadFactor, long fallUs, double youngUnits, long turnGapUs,
+            int streams) { }
 
-    /** The settings given at start. */
+    /** The settings given at start; {@code probePrice} is what a probe costs, in mean requests' worth. */
     record Settings(long seed, int rank, int heads, int zone, boolean listOnRequest, long tickUs,
             List<RequestClass> classes, List<Plan> plans, List<String> loadNames, Limits limits,
             double meanUnits, double mostUnits, double fairWorth, double spareWorth, long meterUs,
-            boolean tellsOthers) {
+            boolean tellsOthers, double probePrice) {
         public List<String> classNames() {
             return classes.stream().map(RequestClass::name).toList();
         }
@@ -171,7 +175,8 @@
         /** The same for one instance of a tier of another size. */
         public Settings among(int newRank, int newHeads) {
             return new Settings(seed, newRank, newHeads, zone, listOnRequest, tickUs, classes, plans,
-                    loadNames, limits, meanUnits, mostUnits, fairWorth, spareWorth, meterUs, tellsOthers);
+                    loadNames, limits, meanUnits, mostUnits, fairWorth, spareWorth, meterUs, tellsOthers,
+                    probePrice);
         }
     }
 }
