Hand over by mailboxes that never spin, shorten the start, and learn cold nodes by warmth

Checked: all threads stood still but the one named engine, which ran at full speed in Java code with nothing else to see; its stack could not be walked. Ruled out by probes: a loop in Brain.dispatch and timers that are always due (counters that would have logged them stayed silent); a lock of malloc (no thread waited there); compiler threads (they waited). What is left is the engine's timed poll of a LinkedBlockingQueue: a JDK condition whose time runs out while a signaller has taken the waiter but not yet put it in the lock's queue turns in Thread.onSpinWait until that is done; where one thread runs at a time, the signaller never gets on. Cold code makes it likely, as its first calls enter the JVM just there.

Changes: Engine and RequestLife take from a Mailbox (a lock-free queue, park and unpark), in which nobody waits for another's next step. What is learned of a cold node counts by its warmth in the average of all, so that heads that start among cold nodes do not halve their room twice.

--- a/deploy/run.sh
+++ b/deploy/run.sh
@@ -3,7 +3,8 @@
 # (192 where it names none): a quarter for the heap, a sixteenth for direct buffers. The README has the arithmetic.
 # The heap is touched whole at the start, so that memory in use is level from then on. One malloc arena keeps the
 # request threads from holding one each. The JVM is told that it has one core, as it has: it would start several
-# compiler threads and wait by spinning otherwise, which on part of a core is time taken from the work. Shell builtins only, and no subshells: the platform's fleet refuses fork.
+# compiler threads and wait by spinning otherwise, which on part of a core is time taken from the work. No JMX, which
+# nobody asks and the I/O library would start: there is no builder of the name that is given for it. Shell builtins only, and no subshells: the platform's fleet refuses fork.
 config=${ROUTER_CONFIG:-deploy/config.example.json}
 memory=
 if [ ! -r "$config" ]; then
@@ -23,7 +24,8 @@
 memory=${memory:-192}
 [ "$memory" -lt 256 ] || memory=256
 export MALLOC_ARENA_MAX=1
-exec java -XX:ActiveProcessorCount=1 -XX:SharedArchiveFile=target/cypressglade.jsa -Xlog:cds=off \
-  -Xlog:cds+dynamic=off -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -XX:-UsePerfData -XX:+AlwaysPreTouch \
+exec java -XX:ActiveProcessorCount=1 -Djavax.management.builder.initial=none \
+  -XX:SharedArchiveFile=target/cypressglade.jsa -Xlog:cds=off -Xlog:cds+dynamic=off \
+  -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -XX:-UsePerfData -XX:+AlwaysPreTouch \
   -Xms$((memory / 4))m -Xmx$((memory / 4))m -Xss256k -XX:MaxDirectMemorySize=$((memory / 16))m \
   -XX:ReservedCodeCacheSize=12m -XX:MaxMetaspaceSize=28m -jar target/cypressglade.jar serve "$@"
--- a/src/main/java/cypressglade/cli/Main.java
+++ b/src/main/java/cypressglade/cli/Main.java
@@ -24,6 +24,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.logging.Level;
+import java.util.logging.Logger;
 
 /** The command line. */
 public final class Main {
@@ -31,6 +33,8 @@
     private static final int FAILED = 1;
     private static final int USAGE = 2;
     private static final Set<String> SERVING = Set.of("serve", "adapter", "check-config");
+    /** Held, as its level is lost with it: the first line that is logged costs a start some 50 ms. */
+    private static final Logger XNIO = Logger.getLogger("org.xnio");
     private static final Duration ASK_LIMIT = Duration.ofSeconds(5);
 
     private Main() { }
@@ -85,6 +89,15 @@
 
     /** Runs a command; returns its exit code. */
     static int run(String[] args, InputStream in, PrintStream out, PrintStream errors) {
+        if (args.length == 1 && args[0].equals("serve")) { // a restart must not pay for reading no options
+            try {
+                return serve(new ServeCommand(), out);
+            } catch (ConfigException bad) {
+                return unusable(bad, errors);
+            } catch (IOException failed) {
+                return failed(failed, errors);
+            }
+        }
         ServeCommand serve = new ServeCommand();
         CheckConfigCommand check = new CheckConfigCommand();
         JCommander commands = JCommander.newBuilder().programName("cypressglade").addCommand("serve", serve)
@@ -102,11 +115,7 @@
             }
             switch (Optional.ofNullable(commands.getParsedCommand()).orElse("")) {
                 case "serve" -> {
-                    Reload reload = new Reload(serve);
-                    Signals.onHangUp(reload);
-                    Config config = serve.read();
-                    Rehearsal.play(config);
-                    return serve(new Serve(config, serve.readFiles(config)), reload, out);
+                    return serve(serve, out);
                 }
                 case "adapter" -> {
                     return Adapter.run(in, out, errors);
@@ -139,14 +148,31 @@
             errors.print(usage);
             return USAGE;
         } catch (ConfigException bad) {
-            errors.println("cypressglade: " + bad.getMessage());
-            return USAGE;
+            return unusable(bad, errors);
         } catch (IOException failed) {
-            errors.println("cypressglade: " + failed.getMessage());
-            return FAILED;
+            return failed(failed, errors);
         }
     }
 
+    private static int unusable(ConfigException bad, PrintStream errors) {
+        errors.println("cypressglade: " + bad.getMessage());
+        return USAGE;
+    }
+
+    private static int failed(IOException failed, PrintStream errors) {
+        errors.println("cypressglade: " + failed.getMessage());
+        return FAILED;
+    }
+
+    private static int serve(ServeCommand command, PrintStream out) throws ConfigException, IOException {
+        XNIO.setLevel(Level.WARNING);
+        Reload reload = new Reload(command);
+        Signals.onHangUp(reload);
+        Config config = command.read();
+        Rehearsal.play(config);
+        return serve(new Serve(config, command.readFiles(config)), reload, out);
+    }
+
     /** Adds the commands that print something and end. */
     private static Map<String, Asking> asking(JCommander commands) {
         Map<String, Asking> asking = new LinkedHashMap<>();
--- a/src/main/java/cypressglade/cli/Rehearsal.java
+++ b/src/main/java/cypressglade/cli/Rehearsal.java
@@ -37,8 +37,10 @@
     private static final int LANES = 8;
     /** Requests that a node serves in the tightest aim, at the load that nodes are meant to bear. */
     private static final double IN_AIM = 12;
-    /** What comes in so many seconds is worth rehearsing; one who waits for the doors loses more. */
-    private static final double SECONDS = 2.5;
+    /** Requests a second that code which never ran bears on half a core. */
+    private static final double BEARABLE = 70;
+    /** What comes beyond that in so many seconds is worth rehearsing. */
+    private static final double SECONDS = 4;
     /** So many requests run nearly every piece of code once. */
     private static final int LEAST_REQUESTS = LANES;
     private static final Duration MOST = Duration.ofMillis(2500);
@@ -66,15 +68,15 @@
     }
 
     /**
-     * As many as will come in the first seconds. Where many schedulers share the work, each request that is
-     * rehearsed keeps the doors closed for longer than its later, quicker answer is worth: after a mass
-     * kill all of them are away at once.
+     * By what is to come: where it is much, the first seconds would be lost to loading and compiling. Where
+     * many schedulers share the work, little comes to each, and closed doors lose more than slow answers:
+     * after a mass kill all of them are away at once.
      */
     static int requests(Settings settings, int nodes) {
         double tightest = settings.classes().stream().mapToLong(RequestClass::aimUs).min().orElse(1);
-        double aims = SECONDS * Micros.of(Duration.ofSeconds(1)) / Math.max(1, tightest);
-        double coming = nodes * IN_AIM / settings.heads() * aims;
-        return (int) Math.max(LEAST_REQUESTS, Math.min(MOST_REQUESTS, coming));
+        double aims = (double) Micros.of(Duration.ofSeconds(1)) / Math.max(1, tightest);
+        double beyond = nodes * IN_AIM / settings.heads() * aims - BEARABLE;
+        return (int) Math.max(LEAST_REQUESTS, Math.min(MOST_REQUESTS, beyond * SECONDS));
     }
 
     /** Plays all requests, or as many as the time allows; returns how many were answered. */
--- a/src/main/java/cypressglade/core/Brain.java
+++ b/src/main/java/cypressglade/core/Brain.java
@@ -69,6 +69,7 @@
     private static final double TURN_BY_RANK = 0.618034; // golden section: spreads ranks evenly over turns
     private static final double TURN_PART = 0.8; // of what all may send: chance gives some windows more
     private static final double COLD_PART = 0.4; // of what a cold node falls over at, as nodes are seen
+    private static final double LEAST_WARMTH = 0.05; // where settings name no cold part
     private static final int COLD_ANSWERS = 20; // answers from which that is known
     private static final double TURN_BY_WINDOW = 0.754878; // and windows, out of step with the ranks
     private static final double DEMAND_US = 5_000_000; // memory of what this head is asked for
@@ -103,8 +104,7 @@
     public Brain(long nowUs, Settings settings, Actions actions) {
         this.actions = actions;
         this.random = new SplittableRandom(settings.seed());
-        this.bornAt = nowUs;
-        this.askedAt = nowUs;
+        this.bornAt = this.askedAt = nowUs;
         this.asked = settings.mostUnits(); // until it is known, much is taken to be asked for
         use(settings);
         if (settings.listOnRequest()) {
@@ -687,7 +687,7 @@
         double part = Math.max(AVERAGE_SMOOTHING, 1.0 / (++answers + FIRST_ANSWERS));
         averageBacklog = averageBacklog(now) + part * (node.backlog - averageBacklog(now));
         averageAt = now;
-        averagePace += part * (node.pace - averagePace);
+        averagePace += part * (node.pace * node.warmth(now) - averagePace);
         double strain = Math.min(SAMPLE_CLIP, (double) (now - sent.held.arrived) / sent.held.type.aimUs());
         double old = node.strain(now);
         node.strain = old + Math.max(SLOW_SMOOTHING, 1.0 / (node.answers + FIRST_ANSWERS)) * (strain - old);
@@ -705,10 +705,8 @@
      * Covers nodes with a broken disk or a bad release; may hurt where one class alone is in error.
      */
     private void heard(long now, Node node, boolean error) {
-        node.answeredAt = now;
-        node.seenAt = now;
-        node.down = false;
-        node.guarded = false;
+        node.answeredAt = node.seenAt = now;
+        node.down = node.guarded = false;
         node.errors += SMOOTHING * ((error ? 1 : 0) - node.errors);
     }
 
@@ -805,8 +803,7 @@
             if (entry.startedUs() != startedUs) {
                 heardAt = Long.MIN_VALUE;
                 answers = 0;
-                down = false;
-                guarded = false;
+                down = guarded = false;
                 errors = 0;
             }
             address = entry.node();
@@ -829,9 +826,16 @@
                     : average + (learned - average) * Math.exp(-(now - heardAt) / FORGET_US);
         }
 
-        /** Microseconds a unit. */
+        /** Part of its speed that a node surely has: it rises evenly from the cold part to the whole. */
+        double warmth(long now) {
+            long cold = limits.rampUs() - (now - Math.max(startedUs, coldFrom));
+            return startedUs == 0 && coldFrom == 0 || cold <= 0 ? 1 : Math.max(LEAST_WARMTH,
+                    1 - (1 - limits.coldFrom()) * Math.min(1, (double) cold / limits.rampUs()));
+        }
+
+        /** Microseconds a unit; of an unheard node what the average of all tells of one as warm as it is. */
         double pace(long now) {
-            return recall(now, pace, averagePace);
+            return recall(now, pace, averagePace / warmth(now));
         }
 
         /** Share of their aim that answers take: how crowded the node is. */
@@ -908,17 +912,14 @@
          * die (their turn lapses); may hurt where few heads have all the traffic of the node.
          */
         double coldRoom(long now) {
-            long age = now - Math.max(startedUs, coldFrom);
             coldSends.removeIf(sent -> sent[0] <= now - limits.fallUs());
-            if (startedUs == 0 && coldFrom == 0 || age >= limits.rampUs()) {
+            double warmth = warmth(now);
+            if (warmth >= 1) {
                 return Double.MAX_VALUE;
             }
-            double growth = limits.coldFrom() > 0 ? 1 / limits.coldFrom() - 1 : 0;
-            double warmth = 1 + growth * Math.max(0, age) / limits.rampUs();
-            double all = limits.youngUnits() * warmth;
+            double all = limits.youngUnits() * warmth / Math.max(LEAST_WARMTH, limits.coldFrom());
             if (Brain.this.answers >= COLD_ANSWERS) {
-                double paced = Math.max(averagePace / (limits.coldFrom() * warmth),
-                        answers < FIRST_ANSWERS ? 0 : pace(now));
+                double paced = Math.max(averagePace / warmth, answers < FIRST_ANSWERS ? 0 : pace(now));
                 all = Math.max(all, COLD_PART * limits.overloadFactor() * limits.fallUs() / paced);
             }
             double room = all / settings.heads();
--- a/src/main/java/cypressglade/core/Engine.java
+++ b/src/main/java/cypressglade/core/Engine.java
@@ -13,9 +13,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.PriorityQueue;
-import java.util.concurrent.LinkedBlockingQueue;
-import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.LongFunction;
@@ -28,7 +27,7 @@
     private static final float[] NO_LOAD = {};
     private static final System.Logger LOG = System.getLogger(Engine.class.getName());
 
-    private final LinkedBlockingQueue<Runnable> events = new LinkedBlockingQueue<>();
+    private final Mailbox<Runnable> events = new Mailbox<>();
     private final PriorityQueue<Timer> timers = new PriorityQueue<>(
             Comparator.comparing(Timer::due).thenComparing(Timer::number));
     private final Map<Long, RequestLife<?>> open = new HashMap<>();
@@ -168,9 +167,9 @@
             try {
                 Timer first = timers.peek();
                 Duration wait = first == null ? Duration.ofDays(1) : Time.until(first.due());
-                Runnable event = events.poll(wait.toNanos(), TimeUnit.NANOSECONDS);
-                if (event != null && !closing) { // an event may win against the interrupt that ends the wait
-                    event.run();
+                Optional<Runnable> event = events.poll(wait);
+                if (event.isPresent() && !closing) { // it may win against the interrupt that ends the wait
+                    event.get().run();
                 }
                 while (!timers.isEmpty() && Time.until(timers.peek().due()).isZero()) {
                     scheduler.timer(now(), timers.poll().token());
--- a/src/main/java/cypressglade/core/RequestLife.java
+++ b/src/main/java/cypressglade/core/RequestLife.java
@@ -6,8 +6,7 @@
 import cypressglade.core.Scheduler.Status;
 import java.time.Duration;
 import java.time.Instant;
-import java.util.concurrent.LinkedBlockingQueue;
-import java.util.concurrent.TimeUnit;
+import java.util.Optional;
 
 /**
  * One request from its taking to its one answer, read from top to bottom in {@link #run}. It runs as a
@@ -17,13 +16,15 @@
     /** How long past the end of a request the module's last word is waited for. */
     private static final Duration ORDER_GRACE = Duration.ofMillis(15);
 
+    private static final Duration A_DAY = Duration.ofDays(1);
+
     private final Engine engine;
     private final Counters counters;
     private final IoRequest request;
     private final W work;
     private final Caller caller;
     private final NodeLink<W> link;
-    private final LinkedBlockingQueue<Signal> signals = new LinkedBlockingQueue<>();
+    private final Mailbox<Signal> signals = new Mailbox<>();
     private boolean gone;
 
     // The engine's alone: the number that the module knows the request by, and what was ordered and ended.
@@ -132,11 +133,13 @@
 
     private Signal await(Instant until) {
         try {
-            if (until.equals(Instant.MAX)) {
-                return signals.take();
+            while (true) {
+                Duration left = until.equals(Instant.MAX) ? A_DAY : Time.until(until);
+                Optional<Signal> signal = signals.poll(left);
+                if (signal.isPresent() || !until.equals(Instant.MAX)) {
+                    return signal.orElseGet(Late::new);
+                }
             }
-            Signal signal = signals.poll(Time.until(until).toNanos(), TimeUnit.NANOSECONDS);
-            return signal == null ? new Late() : signal;
         } catch (InterruptedException end) {
             return new Late();
         }
