--- a/src/main/java/cypressglade/core/Brain.java
+++ b/src/main/java/cypressglade/core/Brain.java
@@ -26,7 +26,7 @@
     private static final double AVERAGE_SMOOTHING = 0.02; // the same for the average over all nodes
     private static final double FIRST_ANSWERS = 4; // answers that the value at the start counts as
     private static final long FRESH_US = 150_000; // what was heard of a node within this needs no probe
-    private static final double PRICE_US = 13_600_000; // the same by a probe's price: what is dear is rarer
+    private static final double PRICE_US = 1_500_000_000; // the same by the square of a probe's price
     private static final long ASK_WAIT_US = 30_000; // longest wait for a probe before a decision
     private static final double NO_ANSWER_TIMES = 4; // backlog if no probe comes back, in waits for it
     private static final double PROBE_TRUST = 0.7; // weight of a probe's time in the backlog
@@ -68,7 +68,7 @@
     private static final long TEST_GAP_US = 62_500; // between tests of a silent node by heads in turn
     private static final double TURN_BY_RANK = 0.618034; // golden section: spreads ranks evenly over turns
     private static final double TURN_PART = 0.8; // of what all may send: chance gives some windows more
-    private static final double COLD_PART = 0.4; // of what a cold node falls over at, as nodes are seen
+    private static final double COLD_PART = 0.6; // of what a cold node falls over at, as nodes are seen
     private static final double LEAST_WARMTH = 0.05; // where settings name no cold part
     private static final int COLD_ANSWERS = 20; // answers from which that is known
     private static final double TURN_BY_WINDOW = 0.754878; // and windows, out of step with the ranks
@@ -125,7 +125,7 @@
         topWorth = Math.max(mostWorth * dearest, Double.MIN_NORMAL);
         leastOut = (int) Math.max(1, Math.round(LEAST_OUT / settings.heads()));
         mostOut = (int) Math.max(1, CONNECTIONS / settings.heads() * limits.streams());
-        freshUs = Math.max(FRESH_US, (long) (settings.probePrice() * PRICE_US));
+        freshUs = Math.max(FRESH_US, (long) (Math.pow(settings.probePrice(), 2) * PRICE_US));
         testGapUs = TEST_GAP_US * Math.max(4, settings.heads());
     }
 
