Open the operators' door: readyz, exclude, include, evacuate, activate

Ruled out: the drains themselves, which hold once told; the program had no listener for the calls. Change: operate.Door reads the calls, HandDrains keeps bans that hold over restarts and lists until include, cli.Doorway keeps them in TMPDIR for the next process, and evacuate turns the health to 503 and lets connections go once the front has seen it.

--- /dev/null
+++ b/src/main/java/cypressglade/cli/Doorway.java
@@ -0,0 +1,126 @@
+package cypressglade.cli;
+
+import cypressglade.control.DoorServer;
+import cypressglade.core.Time;
+import cypressglade.operate.Door;
+import cypressglade.operate.HandDrains;
+import cypressglade.operate.HandDrains.Kind;
+import cypressglade.operate.HandDrains.Result;
+import cypressglade.snapshot.SnapshotStore;
+import java.io.IOException;
+import java.lang.System.Logger.Level;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.attribute.PosixFilePermissions;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Arrays;
+import java.util.List;
+import java.util.function.BooleanSupplier;
+
+/**
+ * What the operators' door acts on in a running scheduler: bans, kept in a directory that an upgrade shares
+ * ({@code $TMPDIR}, {@code /tmp} without it), and the evacuation of clients. The bans are written to the disk
+ * before the call is answered, on the door's thread.
+ */
+final class Doorway implements Door.Acts, AutoCloseable {
+    private static final System.Logger LOG = System.getLogger(Doorway.class.getName());
+    /** Bans hold however long the node or the scheduler was away. */
+    private static final Duration ANY_AGE = Duration.ofDays(36_500);
+
+    /** What the door may turn in the scheduler. */
+    interface Scheduler {
+        /** Whether it takes clients. */
+        boolean started();
+
+        /** Sends clients away, or takes them again. */
+        void evacuate(boolean away);
+    }
+
+    private final HandDrains drains;
+    private final Scheduler scheduler;
+    private final SnapshotStore store;
+    private final DoorServer server;
+
+    /**
+     * Takes the bans that were kept, and binds the door; it answers from {@link #start} on.
+     *
+     * @param name the scheduler's name, which its next process has too
+     * @throws IOException where the address is taken or the directory cannot be had
+     */
+    Doorway(InetSocketAddress address, String name, String temporary, HandDrains drains, Scheduler scheduler)
+            throws IOException {
+        this.drains = drains;
+        this.scheduler = scheduler;
+        Path directory = Path.of(temporary == null || temporary.isBlank() ? "/tmp" : temporary,
+                "cypressglade-" + name.replaceAll("[^A-Za-z0-9._-]", "_"));
+        if (!Files.isDirectory(directory)) {
+            Files.createDirectories(directory, PosixFilePermissions.asFileAttribute(
+                    PosixFilePermissions.fromString("rwx------")));
+        }
+        store = new SnapshotStore(directory, "bans");
+        for (SnapshotStore.Found found : store.read(Instant.now(), ANY_AGE)) {
+            if (found.fault() == SnapshotStore.Fault.NONE) {
+                String body = new String(found.body(), StandardCharsets.UTF_8);
+                drains.restoreBans(Arrays.stream(body.split("\n")).filter(id -> !id.isBlank()).toList());
+                break;
+            }
+            LOG.log(Level.WARNING, "{0} is ignored: {1}", found.file(), found.fault());
+        }
+        server = new DoorServer(address, new Door(this), Time::now);
+    }
+
+    void start() {
+        server.start();
+    }
+
+    InetSocketAddress address() {
+        return server.address();
+    }
+
+    @Override
+    public boolean takesClients() {
+        return scheduler.started();
+    }
+
+    @Override
+    public Result exclude(String node) {
+        return kept(drains.exclude(node));
+    }
+
+    @Override
+    public Result include(String node) {
+        return kept(drains.include(node));
+    }
+
+    private Result kept(Result result) {
+        if (result.kind() == Kind.DONE) {
+            List<String> bans = drains.bans();
+            try {
+                store.write(String.join("\n", bans).getBytes(StandardCharsets.UTF_8), Instant.now());
+            } catch (IOException full) {
+                // The ban holds in this process all the same; only an upgrade would not see it.
+                LOG.log(Level.WARNING, "bans could not be kept for the next process: " + full.getMessage());
+            }
+            LOG.log(Level.INFO, "bans now {0}", bans);
+        }
+        return result;
+    }
+
+    @Override
+    public void evacuate() {
+        scheduler.evacuate(true);
+    }
+
+    @Override
+    public void activate() {
+        scheduler.evacuate(false);
+    }
+
+    @Override
+    public void close() {
+        server.close();
+    }
+}
--- a/src/main/java/cypressglade/cli/Main.java
+++ b/src/main/java/cypressglade/cli/Main.java
@@ -75,7 +75,7 @@
             if (config == null || config.isEmpty()) {
                 throw new ConfigException("no configuration: give --config or set ROUTER_CONFIG");
             }
-            return Config.read(Path.of(config));
+            return Config.read(Path.of(config)).operatorFrom(System.getenv("ROUTER_OPERATOR"));
         }
     }
 
@@ -221,6 +221,7 @@
         out.println("listening on " + scheduler.address());
         scheduler.peerAddress().ifPresent(address -> out.println("peers on " + address));
         scheduler.nbdAddress().ifPresent(address -> out.println("NBD on " + address));
+        scheduler.operatorAddress().ifPresent(address -> out.println("operators' door on " + address));
         try {
             Thread.currentThread().join();
         } catch (InterruptedException end) {
--- a/src/main/java/cypressglade/cli/Serve.java
+++ b/src/main/java/cypressglade/cli/Serve.java
@@ -26,6 +26,7 @@
 import java.time.Instant;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 
 /** One real scheduler: its parts, from start to stop. */
@@ -40,6 +41,8 @@
     private static final Duration BEFORE_THE_KILL = Duration.ofMillis(400);
     private static final Duration LOOK = Duration.ofMillis(10);
     private static final Duration SETTLE = Duration.ofMillis(50);
+    /** The front asks for the health ten times a second and sends no new connection 0.2 s after a no. */
+    private static final Duration FRONT_TURNED = Duration.ofMillis(300);
 
     private volatile Config config;
     private volatile OperatorFiles files;
@@ -55,7 +58,10 @@
     private final Optional<NbdListener> blockClients;
     private final Optional<Peers> peers;
     private final Optional<Control> control;
+    private final Optional<Doorway> door;
+    private final AtomicLong evacuations = new AtomicLong();
     private volatile boolean ready;
+    private volatile boolean evacuated;
 
     public Serve(Config config, OperatorFiles files) throws IOException {
         this.config = config;
@@ -75,13 +81,26 @@
         control = files.control().isEmpty() ? Optional.empty() : Optional.of(new Control(
                 files.control().get(), engine, counters, drains, () -> this.config.settings().classNames(),
                 this::members, () -> InForce.of(this.config, this.files)));
-        Consumer<NodeList> lists = control.isPresent() ? drains::told : engine::told;
+        door = config.operator().isEmpty() ? Optional.empty() : Optional.of(new Doorway(
+                config.operator().get(), config.name(), System.getenv("TMPDIR"), drains,
+                new Doorway.Scheduler() {
+                    @Override
+                    public boolean started() {
+                        return ready;
+                    }
+
+                    @Override
+                    public void evacuate(boolean away) {
+                        Serve.this.evacuate(away);
+                    }
+                }));
+        Consumer<NodeList> lists = control.isPresent() || door.isPresent() ? drains::told : engine::told;
         lists.accept(config.known());
         discovery = new DiscoveryWatch(loop, config.discovery(), config.nodeLists(), directory, lists,
                 counters);
         discovery.start();
-        clients = new ClientListener(loop, config.settings(), engine, counters, pool, nodes, () -> ready,
-                config.budget());
+        clients = new ClientListener(loop, config.settings(), engine, counters, pool, nodes,
+                () -> ready && !evacuated, config.budget());
         blockClients = files.nbd().isEmpty() ? Optional.empty() : Optional.of(new NbdListener(loop,
                 files.nbd().get(), config.settings(), engine, directory, counters, pool, nbdNodes.get()));
     }
@@ -98,10 +117,34 @@
         if (peers.isPresent()) {
             peers.get().start();
         }
+        door.ifPresent(Doorway::start);
         clients.start(config.listen());
         ready = true;
     }
 
+    /**
+     * Sends clients away without stopping, or takes them again: the health says no at once, and once the
+     * front has seen it each answer ends its connection and idle ones are closed, so that none is held idle.
+     */
+    private void evacuate(boolean away) {
+        long turn = evacuations.incrementAndGet();
+        evacuated = away;
+        if (away) {
+            loop.after(FRONT_TURNED, () -> {
+                if (evacuations.get() == turn) {
+                    clients.leave();
+                }
+            });
+        } else {
+            clients.stay();
+        }
+    }
+
+    /** Where the operators' door listens, once it is bound. */
+    public Optional<InetSocketAddress> operatorAddress() {
+        return door.map(Doorway::address);
+    }
+
     /** Takes a new configuration: each part is handed its own values whole, and what is open goes on. */
     public void use(Config next, OperatorFiles files) {
         engine.use(next.settings());
@@ -169,10 +212,12 @@
         Thread.sleep(SETTLE.toMillis());
         peers.ifPresent(Peers::close);
         control.ifPresent(Control::close);
+        door.ifPresent(Doorway::close);
     }
 
     @Override
     public void close() {
+        door.ifPresent(Doorway::close);
         peers.ifPresent(Peers::close);
         control.ifPresent(Control::close);
         clients.close();
--- a/src/main/java/cypressglade/config/Config.java
+++ b/src/main/java/cypressglade/config/Config.java
@@ -11,11 +11,12 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 /** What a scheduler is told at its start, out of config.json. */
 public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, NodeList known,
         Settings settings, Duration connectTimeout, Duration idleLimit, NodeListParser nodeLists,
-        Budget budget) {
+        Budget budget, Optional<InetSocketAddress> operator) {
     private static final String SETTINGS = "settings.";
     private static final Duration DEFAULT_CONNECT = Duration.ofMillis(250);
     private static final Duration DEFAULT_IDLE = Duration.ofSeconds(30);
@@ -32,7 +33,22 @@
     /** The same, listening elsewhere. */
     public Config on(InetSocketAddress other) {
         return new Config(name, other, discovery, known, settings, connectTimeout, idleLimit, nodeLists,
-                budget);
+                budget, operator);
+    }
+
+    /**
+     * The same, with the operators' door where {@code $ROUTER_OPERATOR} names it; the file's {@code operator}
+     * where the variable is unset or empty.
+     *
+     * @throws ConfigException where the variable is not ADDRESS:PORT
+     */
+    public Config operatorFrom(String variable) throws ConfigException {
+        if (variable == null || variable.isBlank()) {
+            return this;
+        }
+        Values values = new Values("$ROUTER_OPERATOR", Map.of("operator", variable.strip()));
+        return new Config(name, listen, discovery, known, settings, connectTimeout, idleLimit, nodeLists,
+                budget, Optional.of(values.address("operator")));
     }
 
     static byte[] bytes(Path path) throws ConfigException {
@@ -74,7 +90,9 @@
                 span(values, "settings.limits.connectTimeoutUs", DEFAULT_CONNECT),
                 span(values, "settings.limits.connIdleUs", DEFAULT_IDLE), lists,
                 new Budget(limit(values, "limits.memory_mb", LEAST_MEMORY, DEFAULT_MEMORY),
-                        limit(values, "limits.sockets", LEAST_SOCKETS, DEFAULT_SOCKETS)));
+                        limit(values, "limits.sockets", LEAST_SOCKETS, DEFAULT_SOCKETS)),
+                values.text("operator", "").isEmpty() ? Optional.empty()
+                        : Optional.of(values.address("operator")));
     }
 
     private static int limit(Values values, String path, int least, int otherwise) throws ConfigException {
--- a/src/main/java/cypressglade/config/Values.java
+++ b/src/main/java/cypressglade/config/Values.java
@@ -78,7 +78,7 @@
         int colon = text.lastIndexOf(':');
         try {
             int port = Integer.parseInt(text.substring(colon + 1));
-            if (colon > 0 && text.substring(0, colon).matches("[0-9.]+|\\[[0-9a-fA-F:.]+]")) {
+            if (colon > 0 && text.substring(0, colon).matches("[0-9.]+|\\[[0-9a-fA-F:.]+]|localhost")) {
                 return new InetSocketAddress(text.substring(0, colon), port);
             }
         } catch (IllegalArgumentException notAnAddress) {
--- a/src/main/java/cypressglade/http/ClientListener.java
+++ b/src/main/java/cypressglade/http/ClientListener.java
@@ -166,6 +166,11 @@
         });
     }
 
+    /** Undoes {@link #leave}: answers keep their connections again, and idle ones stay. */
+    public void stay() {
+        loop.execute(() -> leaving = false);
+    }
+
     @Override
     public void close() {
         listening.close();
--- a/src/main/java/cypressglade/operate/HandDrains.java
+++ b/src/main/java/cypressglade/operate/HandDrains.java
@@ -7,6 +7,7 @@
 import java.time.Instant;
 import java.util.Collection;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -29,6 +30,8 @@
     private final Consumer<NodeList> out;
     private final Map<String, Entry> told = new LinkedHashMap<>();
     private final Map<String, HandDrain> drains = new LinkedHashMap<>();
+    /** Nodes out by the operators' door: held over restarts and lists that lack them, until taken back. */
+    private final Set<String> bans = new LinkedHashSet<>();
     private final LinkedHashMap<String, Result> commands = new LinkedHashMap<>();
     private long version;
 
@@ -87,7 +90,7 @@
     }
 
     private Entry held(Entry entry) {
-        return entry.state() == State.READY && drains.containsKey(entry.id())
+        return entry.state() == State.READY && (drains.containsKey(entry.id()) || bans.contains(entry.id()))
                 ? new Entry(entry.id(), entry.address(), entry.zone(), entry.kind(), entry.cell(),
                         State.DRAINING, entry.weight(), entry.started())
                 : entry;
@@ -167,6 +170,48 @@
                         .toList());
     }
 
+    /** Takes bans of a former life or of the process that this one upgrades, before any list. */
+    public synchronized void restoreBans(Collection<String> kept) {
+        bans.addAll(kept);
+    }
+
+    /**
+     * Bans a node by its exact id: nothing new starts there once this returns, whatever later lists say of it
+     * and however often it restarts, until {@link #include}. A ban that holds is ALREADY, listed or not; an
+     * id that is neither banned nor listed is UNKNOWN_NODE, and changes nothing.
+     */
+    public synchronized Result exclude(String node) {
+        if (bans.contains(node)) {
+            return new Result(Kind.ALREADY, node, List.of());
+        }
+        Entry entry = told.get(node);
+        if (entry == null) {
+            return new Result(Kind.UNKNOWN_NODE, node, told.keySet().stream().sorted().limit(MOST_NAMED)
+                    .toList());
+        }
+        bans.add(node);
+        show(entry);
+        return new Result(Kind.DONE, node, List.of());
+    }
+
+    /** Takes a ban back, however many times it was given: the node is what the sources say of it. */
+    public synchronized Result include(String node) {
+        if (!bans.remove(node)) {
+            return new Result(told.containsKey(node) ? Kind.ALREADY : Kind.UNKNOWN_NODE, node,
+                    told.containsKey(node) ? List.of() : told.keySet().stream().sorted().limit(MOST_NAMED)
+                            .toList());
+        }
+        if (told.containsKey(node)) {
+            show(told.get(node));
+        }
+        return new Result(Kind.DONE, node, List.of());
+    }
+
+    /** The bans that hold, in the order in which they were given. */
+    public synchronized List<String> bans() {
+        return List.copyOf(bans);
+    }
+
     /** Takes in the views: a drain is done when nothing is out or held there. Returns the newly done. */
     public synchronized List<HandDrain> seen(List<NodeFact> facts) {
         Set<String> busy = facts.stream().filter(fact -> fact.view().outUnits() > 0 || fact.view().held() > 0)
--- /dev/null
+++ b/src/test/java/cypressglade/cli/DoorwayTest.java
@@ -0,0 +1,97 @@
+package cypressglade.cli;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import cypressglade.core.NodeList;
+import cypressglade.core.NodeList.Entry;
+import cypressglade.core.Scheduler.State;
+import cypressglade.operate.HandDrains;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The operators' door on a real socket: one line a call, bans kept for the next process, slow callers aside. */
+class DoorwayTest {
+    private static final InetSocketAddress ANY = new InetSocketAddress("127.0.0.1", 0);
+    private static final Entry NODE = new Entry("s-804c1214", ANY, 0, 0, 0, State.READY, 1, Instant.EPOCH);
+
+    @TempDir
+    Path temporary;
+    private final List<Boolean> evacuations = new ArrayList<>();
+
+    private Doorway door(HandDrains drains) throws IOException {
+        Doorway door = new Doorway(ANY, "n0", temporary.toString(), drains, new Doorway.Scheduler() {
+            @Override
+            public boolean started() {
+                return true;
+            }
+
+            @Override
+            public void evacuate(boolean away) {
+                evacuations.add(away);
+            }
+        });
+        door.start();
+        return door;
+    }
+
+    private static String call(Doorway door, String line) throws IOException {
+        try (Socket socket = new Socket(door.address().getAddress(), door.address().getPort())) {
+            socket.setSoTimeout(5000);
+            socket.getOutputStream().write((line + "\n").getBytes(StandardCharsets.UTF_8));
+            return new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.UTF_8))
+                    .readLine();
+        }
+    }
+
+    @Test
+    void aBanOutlivesTheProcessThroughTheSharedDirectory() throws IOException {
+        Map<String, State> before = new HashMap<>();
+        HandDrains first = new HandDrains(list -> list.entries().forEach(e -> before.put(e.id(), e.state())));
+        first.told(new NodeList(1, true, List.of(NODE)));
+        try (Doorway door = door(first)) {
+            assertThat(call(door, "exclude s-unknown")).startsWith("400 ");
+            assertThat(call(door, "exclude s-804c1214")).startsWith("200 ");
+            assertThat(call(door, "exclude s-804c1214")).startsWith("200 ");
+        }
+        Map<String, State> after = new HashMap<>();
+        HandDrains upgraded = new HandDrains(list -> list.entries().forEach(e -> after.put(e.id(), e.state())));
+        try (Doorway door = door(upgraded)) {
+            upgraded.told(new NodeList(1, true, List.of(NODE)));
+            assertThat(after).containsEntry("s-804c1214", State.DRAINING);
+            assertThat(call(door, "include s-804c1214")).startsWith("200 ");
+            assertThat(after).containsEntry("s-804c1214", State.READY);
+        }
+        HandDrains third = new HandDrains(list -> { });
+        try (Doorway door = door(third)) {
+            assertThat(third.bans()).as("the include is kept too").isEmpty();
+            assertThat(call(door, "include s-804c1214")).as("not listed in this life").startsWith("400 ");
+        }
+    }
+
+    @Test
+    void callersThatSayNothingKeepNoOneWaiting() throws IOException {
+        HandDrains drains = new HandDrains(list -> { });
+        try (Doorway door = door(drains); Socket silent = new Socket(door.address().getAddress(),
+                door.address().getPort()); Socket half = new Socket(door.address().getAddress(),
+                        door.address().getPort())) {
+            half.getOutputStream().write("evac".getBytes(StandardCharsets.US_ASCII));
+            assertThat(call(door, "evacuate")).startsWith("200 ");
+            assertThat(call(door, "activate")).startsWith("200 ");
+            assertThat(call(door, "readyz")).startsWith("200 ");
+            assertThat(evacuations).containsExactly(true, false);
+            assertThat(silent.isConnected()).isTrue();
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/cypressglade/http/EvacuateTest.java
@@ -0,0 +1,87 @@
+package cypressglade.http;
+
+import static cypressglade.standin.HttpPeer.answer;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import cypressglade.cli.OperatorFiles;
+import cypressglade.config.ConfigException;
+import cypressglade.standin.HttpPeer;
+import cypressglade.standin.HttpPeer.Message;
+import cypressglade.standin.Site;
+import java.io.BufferedReader;
+import java.io.DataInputStream;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Evacuation by the operators' door: the health says no, open connections are served and then let go. */
+class EvacuateTest {
+    private static final String READ = "/job-read/00000003b4d60021/7f3a9c21e0b4d655";
+    private static final String HEADERS = Site.headers(900, "standard", "units=2,shard=0,hosts=1");
+
+    private final HttpPeer node = new HttpPeer(answer(200, "", "the data"));
+    private Site site;
+
+    @BeforeEach
+    void start() throws Exception {
+        site = new Site(Site.entry(0, node.hostPort(), "active", 0), OperatorFiles.NONE, config -> {
+            try {
+                return config.operatorFrom("127.0.0.1:0");
+            } catch (ConfigException bad) {
+                throw new IllegalStateException(bad);
+            }
+        });
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        site.close();
+        node.close();
+    }
+
+    private String call(String line) throws IOException {
+        InetSocketAddress door = site.serve.operatorAddress().orElseThrow();
+        try (Socket socket = new Socket(door.getAddress(), door.getPort())) {
+            socket.setSoTimeout(5000);
+            socket.getOutputStream().write((line + "\n").getBytes(StandardCharsets.UTF_8));
+            return new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.UTF_8))
+                    .readLine();
+        }
+    }
+
+    private int health() {
+        try {
+            return site.ask("GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n").status();
+        } catch (IOException broken) {
+            throw new UncheckedIOException(broken);
+        }
+    }
+
+    @Test
+    void healthSaysNoWhileOpenConnectionsAreServedAndNoneIsHeldIdle() throws Exception {
+        try (Socket kept = site.connect(); Socket idle = site.connect()) {
+            DataInputStream in = new DataInputStream(kept.getInputStream());
+            kept.getOutputStream().write(Site.request("GET", READ, HEADERS, "").getBytes(StandardCharsets.US_ASCII));
+            assertThat(Message.read(in).status()).isEqualTo(200);
+            idle.getOutputStream().write(Site.request("GET", READ, HEADERS, "").getBytes(StandardCharsets.US_ASCII));
+            assertThat(Message.read(new DataInputStream(idle.getInputStream())).status()).isEqualTo(200);
+
+            assertThat(call("evacuate")).startsWith("200 ");
+            assertThat(health()).isEqualTo(503);
+            kept.getOutputStream().write(Site.request("GET", READ, HEADERS, "").getBytes(StandardCharsets.US_ASCII));
+            Message served = Message.read(in);
+            assertThat(served.status()).as("an open connection is still served").isEqualTo(200);
+            assertThat(in.read()).as("and then let go").isEqualTo(-1);
+            assertThat(idle.getInputStream().read()).as("an idle one is not held").isEqualTo(-1);
+            assertThat(call("readyz")).as("the process still takes clients").startsWith("200 ");
+        }
+        assertThat(call("activate")).startsWith("200 ");
+        Site.await(() -> health() == 200);
+    }
+}
--- a/src/test/java/cypressglade/standin/Site.java
+++ b/src/test/java/cypressglade/standin/Site.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.UnaryOperator;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 
@@ -52,7 +53,12 @@
 
     /** One with the nodes of the given entries. */
     public Site(String entries, OperatorFiles files) throws Exception {
-        config = config(entries, discovery.hostPort());
+        this(entries, files, UnaryOperator.identity());
+    }
+
+    /** One whose configuration is changed before it starts. */
+    public Site(String entries, OperatorFiles files, UnaryOperator<Config> change) throws Exception {
+        config = change.apply(config(entries, discovery.hostPort()));
         serve = new Serve(config, files);
         serve.start();
     }
