Share the clients' port with an upgrade's next process (SO_REUSEPORT)

At fault: Loop.bind, which sets REUSE_ADDRESSES only. net.ReusePort, named as the JDK's channel provider in deploy/run.sh, sets SO_REUSEPORT on the clients' listener between XNIO's open and bind; the rest is the platform's own. UpgradeTest starts two processes on one port sharing TMPDIR: both listen, the ban comes over.

--- a/src/main/java/cypressglade/http/ClientListener.java
+++ b/src/main/java/cypressglade/http/ClientListener.java
@@ -129,7 +129,7 @@
 
     /** Opens the doors. */
     public void start(InetSocketAddress address) throws IOException {
-        listening = loop.bind(address, this::accept);
+        listening = loop.share(address, this::accept); // an upgrade's next process listens beside
         listening.bound(budget.clientConnections() + CROSSING);
         listening.channel().resumeAccepts();
         loop.execute(this::sweep);
--- a/src/main/java/cypressglade/net/Loop.java
+++ b/src/main/java/cypressglade/net/Loop.java
@@ -121,6 +121,25 @@
 
     /** Binds a listener that hands over each connection on this thread, once it is told to accept. */
     public Listening bind(InetSocketAddress address, Consumer<StreamConnection> accepted) throws IOException {
+        return bind(address, accepted, false);
+    }
+
+    /**
+     * Binds a listener that another process may share, as an upgrade wants it, where {@link ReusePort} is
+     * installed; alone on its port where not.
+     */
+    public Listening share(InetSocketAddress address, Consumer<StreamConnection> accepted)
+            throws IOException {
+        return bind(address, accepted, true);
+    }
+
+    private Listening bind(InetSocketAddress address, Consumer<StreamConnection> accepted, boolean shared)
+            throws IOException {
+        return shared ? ReusePort.sharing(() -> open(address, accepted)) : open(address, accepted);
+    }
+
+    private Listening open(InetSocketAddress address, Consumer<StreamConnection> accepted)
+            throws IOException {
         return new Listening(worker.createStreamConnectionServer(address,
                 ChannelListeners.openListenerAdapter(up -> execute(() -> accepted.accept(up))),
                 OptionMap.builder().addAll(TCP).set(Options.REUSE_ADDRESSES, true)
