Count two processes as one scheduler while an upgrade hands over

At fault: nothing told the engine of the second process. The serving process holds a lock in the shared directory; a newcomer that cannot take it marks itself, and both count two (operate.Handover) until the lock is free; Engine.beside doubles the heads the module is told of, so each takes half of volume and cold-node limits.

--- a/src/main/java/cypressglade/cli/Doorway.java
+++ b/src/main/java/cypressglade/cli/Doorway.java
@@ -3,6 +3,7 @@
 import cypressglade.control.DoorServer;
 import cypressglade.core.Time;
 import cypressglade.operate.Door;
+import cypressglade.operate.Handover;
 import cypressglade.operate.HandDrains;
 import cypressglade.operate.HandDrains.Kind;
 import cypressglade.operate.HandDrains.Result;
@@ -10,9 +11,14 @@
 import java.io.IOException;
 import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
+import java.nio.channels.FileChannel;
+import java.nio.channels.FileLock;
+import java.nio.channels.OverlappingFileLockException;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.DirectoryStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
 import java.nio.file.attribute.PosixFilePermissions;
 import java.time.Duration;
 import java.time.Instant;
@@ -29,6 +35,7 @@
     private static final System.Logger LOG = System.getLogger(Doorway.class.getName());
     /** Bans hold however long the node or the scheduler was away. */
     private static final Duration ANY_AGE = Duration.ofDays(36_500);
+    private static final String COMING = "coming.";
 
     /** What the door may turn in the scheduler. */
     interface Scheduler {
@@ -37,12 +44,20 @@
 
         /** Sends clients away, or takes them again. */
         void evacuate(boolean away);
+
+        /** So many processes serve as this instance now (see {@link Handover}). */
+        void beside(int processes);
     }
 
     private final HandDrains drains;
     private final Scheduler scheduler;
     private final SnapshotStore store;
     private final DoorServer server;
+    private final Path directory;
+    private final FileChannel serving;
+    private final Path mark;
+    private FileLock lock;
+    private int processes = 1;
 
     /**
      * Takes the bans that were kept, and binds the door; it answers from {@link #start} on.
@@ -54,7 +69,7 @@
             throws IOException {
         this.drains = drains;
         this.scheduler = scheduler;
-        Path directory = Path.of(temporary == null || temporary.isBlank() ? "/tmp" : temporary,
+        directory = Path.of(temporary == null || temporary.isBlank() ? "/tmp" : temporary,
                 "cypressglade-" + name.replaceAll("[^A-Za-z0-9._-]", "_"));
         if (!Files.isDirectory(directory)) {
             Files.createDirectories(directory, PosixFilePermissions.asFileAttribute(
@@ -69,7 +84,57 @@
             }
             LOG.log(Level.WARNING, "{0} is ignored: {1}", found.file(), found.fault());
         }
-        server = new DoorServer(address, new Door(this), Time::now);
+        serving = FileChannel.open(directory.resolve("serving.lock"), StandardOpenOption.CREATE,
+                StandardOpenOption.WRITE);
+        // The pid tells whether its process lives; the number apart tells two in one JVM apart, as in tests.
+        mark = directory.resolve(COMING + ProcessHandle.current().pid() + "." + System.nanoTime());
+        lock = tryLock();
+        if (lock == null) { // another process serves as this scheduler: an upgrade hands over
+            Files.writeString(mark, "");
+        }
+        look();
+        server = new DoorServer(address, new Door(this), this::look, Time::now);
+    }
+
+    /** The lock where no other holds it; another in this JVM counts as another process, as in tests. */
+    private FileLock tryLock() throws IOException {
+        try {
+            return serving.tryLock();
+        } catch (OverlappingFileLockException heldHere) {
+            return null;
+        }
+    }
+
+    /** Whether this process serves alone, on the door's thread: the lock once it is free, marks of others. */
+    private void look() {
+        try {
+            if (lock == null && (lock = tryLock()) != null) {
+                Files.deleteIfExists(mark);
+            }
+            boolean newcomer = false;
+            try (DirectoryStream<Path> marks = Files.newDirectoryStream(directory, COMING + "*")) {
+                for (Path other : marks) {
+                    String name = other.getFileName().toString();
+                    long pid = Long.parseLong(name.substring(COMING.length(), name.lastIndexOf('.')));
+                    if (other.equals(mark)) {
+                        continue;
+                    }
+                    if (ProcessHandle.of(pid).isPresent()) {
+                        newcomer = true;
+                    } else {
+                        Files.deleteIfExists(other); // of one that died while it started
+                    }
+                }
+            }
+            int now = Handover.processes(lock != null, newcomer);
+            if (now != processes) {
+                processes = now;
+                LOG.log(Level.INFO, "processes serving as this scheduler: {0}", now);
+                scheduler.beside(now);
+            }
+        } catch (IOException | NumberFormatException unusable) {
+            LOG.log(Level.WARNING, "whether an upgrade hands over is not known: " + unusable.getMessage());
+        }
     }
 
     void start() {
@@ -122,5 +187,11 @@
     @Override
     public void close() {
         server.close();
+        try {
+            Files.deleteIfExists(mark);
+            serving.close(); // and with it the lock, which the process's end would give back too
+        } catch (IOException gone) {
+            LOG.log(Level.DEBUG, "closing the lock", gone);
+        }
     }
 }
--- a/src/main/java/cypressglade/cli/Serve.java
+++ b/src/main/java/cypressglade/cli/Serve.java
@@ -93,6 +93,11 @@
                     public void evacuate(boolean away) {
                         Serve.this.evacuate(away);
                     }
+
+                    @Override
+                    public void beside(int processes) {
+                        engine.beside(processes);
+                    }
                 }));
         Consumer<NodeList> lists = control.isPresent() || door.isPresent() ? drains::told : engine::told;
         lists.accept(config.known());
--- a/src/main/java/cypressglade/control/DoorServer.java
+++ b/src/main/java/cypressglade/control/DoorServer.java
@@ -35,6 +35,7 @@
     private static final String TOO_LONG = "400 a call is one line of at most " + Door.MOST_LINE + " bytes";
 
     private final Door door;
+    private final Runnable tick;
     private final Supplier<Instant> clock;
     private final ServerSocketChannel listening;
     private final Selector selector;
@@ -56,10 +57,13 @@
     /**
      * Binds the door.
      *
+     * @param tick run on the door's thread every {@value #TICK_MS} ms at most; must not block for long
      * @throws IOException where the address is taken or cannot be had; the message names the address
      */
-    public DoorServer(InetSocketAddress address, Door door, Supplier<Instant> clock) throws IOException {
+    public DoorServer(InetSocketAddress address, Door door, Runnable tick, Supplier<Instant> clock)
+            throws IOException {
         this.door = door;
+        this.tick = tick;
         this.clock = clock;
         listening = ServerSocketChannel.open();
         try {
@@ -104,6 +108,7 @@
                         serve((SocketChannel) key.channel(), key);
                     }
                 }
+                tick.run();
                 Instant oldest = clock.get().minus(MOST_WAIT);
                 List.copyOf(callers.entrySet()).stream().filter(one -> one.getValue().came.isBefore(oldest))
                         .forEach(one -> drop(one.getKey()));
--- a/src/main/java/cypressglade/core/Engine.java
+++ b/src/main/java/cypressglade/core/Engine.java
@@ -36,6 +36,8 @@
     private final Scheduler scheduler;
     private Settings settings;
     private Share share = new Share(0, 0);
+    /** Processes that serve as this instance at once: two while an upgrade hands over, one otherwise. */
+    private int beside = 1;
     private final Thread thread = new Thread(this::run, "engine");
     private Consumer<Probe> prober = probe -> probe.ended(Ending.of(Status.CONNECT_FAILED));
     private long lastId;
@@ -85,7 +87,7 @@
     public void use(Settings next) {
         post(() -> {
             settings = next;
-            scheduler.use(share.of(next));
+            scheduler.use(inForce());
         });
     }
 
@@ -93,10 +95,28 @@
     public void share(int rank, int heads) {
         post(() -> {
             share = new Share(rank, heads);
-            scheduler.use(share.of(settings));
+            scheduler.use(inForce());
         });
     }
 
+    /**
+     * So many processes serve as this instance at once, as while an upgrade hands over: each takes its part
+     * of the instance's limits, on volumes and on cold nodes, so that together they keep them.
+     */
+    public void beside(int processes) {
+        post(() -> {
+            if (beside != Math.max(1, processes)) {
+                beside = Math.max(1, processes);
+                scheduler.use(inForce());
+            }
+        });
+    }
+
+    private Settings inForce() {
+        Settings shared = share.of(settings);
+        return beside == 1 ? shared : shared.among(shared.rank(), shared.heads() * beside);
+    }
+
     /** What is known of the nodes; handed over on the engine's thread, at a cost of one pass over them. */
     public void views(Consumer<List<NodeFact>> seen) {
         post(() -> seen.accept(directory.facts(scheduler.views(now()))));
@@ -123,7 +143,7 @@
         post(() -> {
             life.id = ++lastId;
             open.put(life.id, life);
-            scheduler.request(now(), request.toModule(life.id));
+            scheduler.request(now(), request.toModule(life.id, beside));
         });
     }
 
--- a/src/main/java/cypressglade/core/IoRequest.java
+++ b/src/main/java/cypressglade/core/IoRequest.java
@@ -12,9 +12,10 @@
                 volume, key, units, last);
     }
 
-    /** The module's form of it. */
-    Scheduler.Request toModule(long id) {
-        return new Scheduler.Request(id, shard, requestClass, plan, hosts, repeat, write, volume, key, units,
+    /** The module's form of it, where so many processes serve as this instance at once. */
+    Scheduler.Request toModule(long id, int beside) {
+        return new Scheduler.Request(id, shard, requestClass, plan, hosts * beside, repeat, write, volume,
+                key, units,
                 Micros.of(Time.until(expiry)));
     }
 }
--- a/src/test/java/cypressglade/cli/DoorwayTest.java
+++ b/src/test/java/cypressglade/cli/DoorwayTest.java
@@ -18,6 +18,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -29,6 +30,8 @@
     @TempDir
     Path temporary;
     private final List<Boolean> evacuations = new ArrayList<>();
+    /** Written on the door's thread, read by the test's. */
+    private final List<Integer> besides = new CopyOnWriteArrayList<>();
 
     private Doorway door(HandDrains drains) throws IOException {
         Doorway door = new Doorway(ANY, "n0", temporary.toString(), drains, new Doorway.Scheduler() {
@@ -41,6 +44,11 @@
             public void evacuate(boolean away) {
                 evacuations.add(away);
             }
+
+            @Override
+            public void beside(int processes) {
+                besides.add(processes);
+            }
         });
         door.start();
         return door;
@@ -94,4 +102,34 @@
             assertThat(silent.isConnected()).isTrue();
         }
     }
+
+    @Test
+    void twoProcessesCountTwoUntilTheFirstIsGone() throws Exception {
+        Doorway first = door(new HandDrains(list -> { }));
+        assertThat(besides).as("alone").isEmpty();
+        List<Integer> second = new CopyOnWriteArrayList<>();
+        try (Doorway next = new Doorway(ANY, "n0", temporary.toString(), new HandDrains(list -> { }),
+                new Doorway.Scheduler() {
+                    @Override
+                    public boolean started() {
+                        return true;
+                    }
+
+                    @Override
+                    public void evacuate(boolean away) {
+                        throw new AssertionError("not called");
+                    }
+
+                    @Override
+                    public void beside(int processes) {
+                        second.add(processes);
+                    }
+                })) {
+            next.start();
+            assertThat(second).containsExactly(2);
+            cypressglade.standin.Site.await(() -> besides.equals(List.of(2)));
+            first.close();
+            cypressglade.standin.Site.await(() -> second.equals(List.of(2, 1)));
+        }
+    }
 }
