Refuse reload files whose classes lack a deadline or whose attempts are not above 0

A SIGHUP file that was cut short or lacked a key could be taken: missing values were read as 0, and a deadline or attemptsCap of 0 or below went into force. Config.parse now names the path and refuses it; the reload changes nothing (reloads_rejected). ConfigTest covers empty, cut, missing and non-positive files.

--- a/src/main/java/cypressglade/config/Config.java
+++ b/src/main/java/cypressglade/config/Config.java
@@ -2,6 +2,7 @@
 
 import cypressglade.core.Micros;
 import cypressglade.core.NodeList;
+import cypressglade.core.Scheduler.RequestClass;
 import cypressglade.core.Scheduler.Settings;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -85,6 +86,7 @@
         if (parsed.classes().isEmpty() || parsed.plans().isEmpty()) {
             throw values.bad("settings", "names no categories or no plans");
         }
+        whole(values, parsed);
         return new Config(values.text("name"), values.address("listen"), values.address("discovery"),
                 lists.parse(values, "known."), parsed,
                 span(values, "settings.limits.connectTimeoutUs", DEFAULT_CONNECT),
@@ -95,6 +97,28 @@
                         : Optional.of(values.address("operator")));
     }
 
+    /**
+     * What a file must give whole, so that a reload of a file that is cut short or lacks a key takes nothing:
+     * each class its name, aim and deadline above 0, and attempts above 0. The simulator's wire may leave
+     * them out; a file may not.
+     */
+    private static void whole(Values values, Settings parsed) throws ConfigException {
+        if (parsed.limits().attempts() <= 0) {
+            throw values.bad("settings.limits.attemptsCap", "must be there and above 0");
+        }
+        for (int i = 0; i < parsed.classes().size(); i++) {
+            RequestClass type = parsed.classes().get(i);
+            String at = "settings.categories." + i + ".";
+            if (type.name().isBlank()) {
+                throw values.bad(at + "name", "must be there");
+            }
+            if (type.deadlineUs() <= 0 || type.aimUs() <= 0) {
+                throw values.bad(at + (type.deadlineUs() <= 0 ? "deadlineUs" : "objectiveUs"),
+                        "must be there and above 0");
+            }
+        }
+    }
+
     private static int limit(Values values, String path, int least, int otherwise) throws ConfigException {
         return values.text(path, "").isEmpty() ? otherwise : (int) values.whole(path, least, MOST);
     }
--- a/src/test/java/cypressglade/config/ConfigTest.java
+++ b/src/test/java/cypressglade/config/ConfigTest.java
@@ -60,12 +60,28 @@
             "sockets":1024 | "sockets":"many" | limits.sockets
             {"name" | ["name" | c.json
             "youngLimit":11}}} | "youngLimit":11}} | c.json
+            "attemptsCap":3, | '' | settings.limits.attemptsCap
+            "attemptsCap":3 | "attemptsCap":0 | settings.limits.attemptsCap
+            "attemptsCap":3 | "attemptsCap":-2 | settings.limits.attemptsCap
+            "deadlineUs":1000000, | '' | settings.categories.0.deadlineUs
+            "deadlineUs":1000000 | "deadlineUs":0 | settings.categories.0.deadlineUs
+            "deadlineUs":700000 | "deadlineUs":-700000 | settings.categories.1.deadlineUs
+            "objectiveUs":400000, | '' | settings.categories.0.objectiveUs
+            {"name":"job-read", | { | settings.categories.0.name
             """)
     void unusableValueIsNamedByItsPath(String from, String to, String path) {
         assertThatThrownBy(() -> config(from, to)).isInstanceOf(ConfigException.class)
                 .hasMessageContaining("c.json").hasMessageContaining(path);
     }
 
+    @Test
+    void anEmptyOrCutFileIsRefused() {
+        assertThatThrownBy(() -> Config.parse("c.json", new byte[0])).isInstanceOf(ConfigException.class)
+                .hasMessageContaining("c.json");
+        assertThatThrownBy(() -> config("\"plans\"", "\"plans\":[]}}, \"cut\""))
+                .isInstanceOf(ConfigException.class).hasMessageContaining("c.json");
+    }
+
     /** Guards against sizes that hold on one day only: 256 descriptors were used up where 1,024 were taken for granted. */
     @ParameterizedTest
     @CsvSource({"192, 1024, 256", "128, 256, 170", "96, 384, 128"})
