--- a/src/main/java/cypressglade/net/ReusePort.java
+++ b/src/main/java/cypressglade/net/ReusePort.java
@@ -64,16 +64,15 @@
 
     @Override
     public ServerSocketChannel openServerSocketChannel() throws IOException {
-        ServerSocketChannel channel = platform.openServerSocketChannel();
-        if (WANTED.get()) {
-            channel.setOption(StandardSocketOptions.SO_REUSEPORT, true);
-        }
-        return channel;
+        return shared(platform.openServerSocketChannel());
     }
 
     @Override
     public ServerSocketChannel openServerSocketChannel(ProtocolFamily family) throws IOException {
-        ServerSocketChannel channel = platform.openServerSocketChannel(family);
+        return shared(platform.openServerSocketChannel(family));
+    }
+
+    private static ServerSocketChannel shared(ServerSocketChannel channel) throws IOException {
         if (WANTED.get()) {
             channel.setOption(StandardSocketOptions.SO_REUSEPORT, true);
         }
--- a/src/test/java/cypressglade/cli/DoorwayTest.java
+++ b/src/test/java/cypressglade/cli/DoorwayTest.java
@@ -6,9 +6,7 @@
 import cypressglade.core.NodeList.Entry;
 import cypressglade.core.Scheduler.State;
 import cypressglade.operate.HandDrains;
-import java.io.BufferedReader;
 import java.io.IOException;
-import java.io.InputStreamReader;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -19,6 +17,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
+import cypressglade.standin.DoorCall;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -55,12 +54,7 @@
     }
 
     private static String call(Doorway door, String line) throws IOException {
-        try (Socket socket = new Socket(door.address().getAddress(), door.address().getPort())) {
-            socket.setSoTimeout(5000);
-            socket.getOutputStream().write((line + "\n").getBytes(StandardCharsets.UTF_8));
-            return new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.UTF_8))
-                    .readLine();
-        }
+        return DoorCall.call(door.address(), line);
     }
 
     @Test
--- a/src/test/java/cypressglade/cli/UpgradeTest.java
+++ b/src/test/java/cypressglade/cli/UpgradeTest.java
@@ -15,6 +15,7 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
+import cypressglade.standin.DoorCall;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -66,12 +67,7 @@
     }
 
     private static String call(int door, String line) throws IOException {
-        try (Socket socket = new Socket("127.0.0.1", door)) {
-            socket.setSoTimeout(10_000);
-            socket.getOutputStream().write((line + "\n").getBytes(StandardCharsets.UTF_8));
-            return new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.UTF_8))
-                    .readLine();
-        }
+        return DoorCall.call(new InetSocketAddress("127.0.0.1", door), line);
     }
 
     @Test
--- a/src/test/java/cypressglade/http/EvacuateTest.java
+++ b/src/test/java/cypressglade/http/EvacuateTest.java
@@ -8,16 +8,14 @@
 import cypressglade.standin.HttpPeer;
 import cypressglade.standin.HttpPeer.Message;
 import cypressglade.standin.Site;
-import java.io.BufferedReader;
 import java.io.DataInputStream;
 import java.io.IOException;
-import java.io.InputStreamReader;
 import java.io.UncheckedIOException;
-import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import cypressglade.standin.DoorCall;
 import org.junit.jupiter.api.Test;
 
 /** Evacuation by the operators' door: the health says no, open connections are served and then let go. */
@@ -46,13 +44,7 @@
     }
 
     private String call(String line) throws IOException {
-        InetSocketAddress door = site.serve.operatorAddress().orElseThrow();
-        try (Socket socket = new Socket(door.getAddress(), door.getPort())) {
-            socket.setSoTimeout(5000);
-            socket.getOutputStream().write((line + "\n").getBytes(StandardCharsets.UTF_8));
-            return new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.UTF_8))
-                    .readLine();
-        }
+        return DoorCall.call(site.serve.operatorAddress().orElseThrow(), line);
     }
 
     private int health() {
