--- a/src/main/java/cypressglade/operate/HandDrains.java
+++ b/src/main/java/cypressglade/operate/HandDrains.java
@@ -165,9 +165,14 @@
         if (fits.size() == 1) {
             return new Result(Kind.DONE, fits.get(0), List.of());
         }
-        return new Result(fits.isEmpty() ? Kind.UNKNOWN_NODE : Kind.AMBIGUOUS, name,
-                (fits.isEmpty() ? told.keySet().stream().sorted() : fits.stream()).limit(MOST_NAMED)
-                        .toList());
+        return fits.isEmpty() ? unknown(name)
+                : new Result(Kind.AMBIGUOUS, name, fits.stream().limit(MOST_NAMED).toList());
+    }
+
+    /** No such node: the answer names some that are listed, to choose from. */
+    private Result unknown(String name) {
+        return new Result(Kind.UNKNOWN_NODE, name,
+                told.keySet().stream().sorted().limit(MOST_NAMED).toList());
     }
 
     /** Takes bans of a former life or of the process that this one upgrades, before any list. */
@@ -186,8 +191,7 @@
         }
         Entry entry = told.get(node);
         if (entry == null) {
-            return new Result(Kind.UNKNOWN_NODE, node, told.keySet().stream().sorted().limit(MOST_NAMED)
-                    .toList());
+            return unknown(node);
         }
         bans.add(node);
         show(entry);
@@ -197,9 +201,7 @@
     /** Takes a ban back, however many times it was given: the node is what the sources say of it. */
     public synchronized Result include(String node) {
         if (!bans.remove(node)) {
-            return new Result(told.containsKey(node) ? Kind.ALREADY : Kind.UNKNOWN_NODE, node,
-                    told.containsKey(node) ? List.of() : told.keySet().stream().sorted().limit(MOST_NAMED)
-                            .toList());
+            return told.containsKey(node) ? new Result(Kind.ALREADY, node, List.of()) : unknown(node);
         }
         if (told.containsKey(node)) {
             show(told.get(node));
