Pass the client's Idempotency-Key on to storage nodes, first attempt and resend alike

A probe through a real serve process to a stand-in node showed the node getting method, target, body, X-Trace-Id and X-Expires-In-Ms but no Idempotency-Key: HttpWork.message wrote a fixed head and HttpWork had no field for the key.

Change: RequestParser refuses a request with two keys (400, never passed on); ClientListener hands the key to HttpWork, whose head carries it unchanged on every attempt.

--- a/src/main/java/cypressglade/http/ClientListener.java
+++ b/src/main/java/cypressglade/http/ClientListener.java
@@ -23,6 +23,7 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.protocol.http.HttpOpenListener;
 import io.undertow.server.protocol.http.HttpServerConnection;
+import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
 import io.undertow.util.SameThreadExecutor;
 import io.undertow.util.StatusCodes;
@@ -37,6 +38,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
@@ -357,8 +359,10 @@
     private void begin(HttpServerExchange exchange, IoRequest request, byte[] body) {
         String target = exchange.getQueryString().isEmpty() ? exchange.getRequestURI()
                 : exchange.getRequestURI() + "?" + exchange.getQueryString();
+        HeaderMap headers = exchange.getRequestHeaders();
+        Optional<String> key = Optional.ofNullable(headers.getFirst(RequestParser.KEY));
         HttpWork work = new HttpWork(exchange.getRequestMethod().toString(), target,
-                exchange.getRequestHeaders().getFirst(RequestParser.TRACE_ID), body);
+                headers.getFirst(RequestParser.TRACE_ID), key, body);
         Answer answer = new Answer(exchange);
         RequestLife<HttpWork> life = new RequestLife<>(engine, counters, request, work, answer, link);
         if (pool.start(life)) {
--- a/src/main/java/cypressglade/http/RequestParser.java
+++ b/src/main/java/cypressglade/http/RequestParser.java
@@ -19,6 +19,7 @@
 /** Reads what the core needs to know out of a client's request. */
 final class RequestParser {
     static final HttpString TRACE_ID = new HttpString("X-Trace-Id");
+    static final HttpString KEY = new HttpString("Idempotency-Key");
     private static final HttpString TIER = new HttpString("Tier");
     private static final HttpString EXPIRES = new HttpString("X-Expires-In-Ms");
     private static final HttpString IO_INFO = new HttpString("IO-Info");
@@ -83,6 +84,9 @@
             throw new Rejected(400, "X-Trace-Id is not usable");
         }
         framing(method, headers);
+        if (headers.count(KEY) > 1) { // which of two keys a node would drop repeats by is not plain
+            throw new Rejected(400, KEY + " is there twice");
+        }
         Map<String, Float> info = info(header(headers, IO_INFO));
         // No client holds a request open for longer than any class lets it.
         long left = Math.min(longestMs, whole(header(headers, EXPIRES)));
--- a/src/test/java/cypressglade/standin/Site.java
+++ b/src/test/java/cypressglade/standin/Site.java
@@ -58,16 +58,27 @@
 
     /** One whose configuration is changed before it starts. */
     public Site(String entries, OperatorFiles files, UnaryOperator<Config> change) throws Exception {
-        config = change.apply(config(entries, discovery.hostPort()));
+        this(entries, files, change, UnaryOperator.identity());
+    }
+
+    /** One whose configuration is the example's text, edited, and then changed before it starts. */
+    public Site(String entries, OperatorFiles files, UnaryOperator<Config> change, UnaryOperator<String> text)
+            throws Exception {
+        config = change.apply(config(entries, discovery.hostPort(), text));
         serve = new Serve(config, files);
         serve.start();
     }
 
     /** The example's configuration with other nodes and discovery elsewhere. */
     public static Config config(String entries, String discovery) throws Exception {
+        return config(entries, discovery, UnaryOperator.identity());
+    }
+
+    /** The same, from the example's text after an edit. */
+    public static Config config(String entries, String discovery, UnaryOperator<String> text) throws Exception {
         Path file = Files.createTempFile("config", ".json");
         try {
-            String example = Files.readString(Path.of("deploy/config.example.json"));
+            String example = text.apply(Files.readString(Path.of("deploy/config.example.json")));
             Files.writeString(file, example.replace("127.0.0.1:8500", discovery)
                     .replace(entry(0, "127.0.0.1:10801", "active", 0), entries));
             return Config.read(file);
