Where probes are forbidden, test a node taken for down by a request, not never

A probe printing the module's refusals by reason every 5 s showed SILENT at 6,477 of 12,830 requests at one scheduler, and each node's view showed shards silent for 10 to 26 s with nothing held and nothing heard, up to 7 of 8 at once.

The first deployment allows probes and the simulator resets only dead nodes that come back with a new start, so neither showed it.

Change: testSilent clears down where probes are forbidden, so the request sent in the window is the test; a dead node fails it and is down again.

Test: BrainTest.whereProbesAreForbiddenAResetBarsANodeOnlyUntilItsNextTest fails without the change ([send 1 0, refuse 1, refuse 2, refuse 3]).

--- a/src/main/java/cypressglade/core/Brain.java
+++ b/src/main/java/cypressglade/core/Brain.java
@@ -292,11 +292,6 @@
         return new Load(held, oldest, givenUp.clone());
     }
 
-    @Override
-    public void message(long now, long fromRank, byte[] text) {
-        // Heads tell each other nothing: lending what is spare of a limit brought nothing (design page).
-    }
-
     @Override
     public void timer(long now, long token) {
         if (token == WATCH) {
@@ -745,6 +740,7 @@
         if (node.ready && now - node.testedAt >= testGapUs && silent(now, node)) {
             node.testedAt = now;
             node.trustedUntil = limits.probes() ? node.trustedUntil : now + FRESH_US;
+            node.down &= limits.probes(); // else a request tests: one reset must not bar a node for good
             if (limits.probes()) {
                 actions.probe(node.address);
             }
--- a/src/main/java/cypressglade/core/Scheduler.java
+++ b/src/main/java/cypressglade/core/Scheduler.java
@@ -38,8 +38,13 @@
     /** Work that is held, and what was given up since the start. */
     Load load(long nowUs);
 
-    /** A message of another head of the tier. */
-    void message(long nowUs, long fromRank, byte[] text);
+    /**
+     * A message of another head of the tier. Nothing is made of it by default: heads tell each other nothing,
+     * as lending what is spare of a limit brought nothing (docs/design.md).
+     */
+    default void message(long nowUs, long fromRank, byte[] text) {
+        // deliberately empty; see above
+    }
 
     /** A timer of this instance is due. */
     void timer(long nowUs, long token);
--- a/src/test/java/cypressglade/core/BrainTest.java
+++ b/src/test/java/cypressglade/core/BrainTest.java
@@ -346,6 +346,25 @@
         assertTrue(head.log.contains("send 3 0"));
     }
 
+    @Test
+    void whereProbesAreForbiddenAResetBarsANodeOnlyUntilItsNextTest() {
+        Head head = new Head();
+        head.probes = false;
+        head.start(2);
+        head.read(1, 0);
+        head.end(1, 0, 0, Status.RESET, 5);
+        head.read(2, 0);
+        assertEquals(1, head.count("send"), "a reset: nothing new at once");
+        assertEquals(1, head.answers(2));
+        head.pass(400);
+        head.read(3, 0);
+        assertTrue(head.log.contains("send 3 0"), "the test is a request: " + head.log);
+        head.end(3, 0, 0, Status.OK, 40);
+        head.read(4, 0);
+        assertTrue(head.log.contains("send 4 0"), "an answer opens the node again");
+        assertEquals(0, head.count("probe"));
+    }
+
     @Test
     void nodeThatAnswersWithErrorsDrawsNoNewObjects() {
         Head head = new Head().start(2);
