Hand what node answers tell (Volume-Load, Other-Hosts, load reports) to the module

Reading Engine.ended showed the real front giving the module 0, 0 and no load on every outcome and every probe (the lines '0, 0, NO_LOAD'); the adapter gives all three. So on sockets a head's part of a reserve was always the guess heads^-0.5 (Volume.part), and a probe's queue was never seen.

Change: ResponseParser keeps the three heads; http.LoadReport reads them into NodeLink.Told in the module's figures (use + 1, units, the load by the settings' names; a figure that is not a plain decimal, or a report without every name, tells nothing); NodePool.Exchange hands Told with the Ending of every answer read whole, and Engine passes it into Outcome and probed. The module is unchanged.

--- a/src/main/java/cypressglade/cli/Rehearsal.java
+++ b/src/main/java/cypressglade/cli/Rehearsal.java
@@ -92,7 +92,7 @@
                 RequestPool pool = new RequestPool(config.budget().requests(), STACK_BYTES, counters)) {
             NodeClient nodes = new NodeClient(new NodePool(loop, directory, counters, config.connectTimeout(),
                     config.idleLimit(), config.budget().nodeConnections()),
-                    config.budget().answerBytes());
+                    config.budget().answerBytes(), config.settings().loadNames());
             engine.start(node -> nodes);
             engine.told(new NodeList(1, true, List.of(new NodeList.Entry("rehearsal", config.listen(), 0,
                     0, 0, State.READY, 1, Instant.EPOCH))));
--- a/src/main/java/cypressglade/cli/Serve.java
+++ b/src/main/java/cypressglade/cli/Serve.java
@@ -72,7 +72,7 @@
         pool = new RequestPool(config.budget().requests(), STACK_BYTES, counters);
         connections = new NodePool(loop, directory, counters, config.connectTimeout(),
                 config.idleLimit(), config.budget().nodeConnections());
-        nodes = new NodeClient(connections, config.budget().answerBytes());
+        nodes = new NodeClient(connections, config.budget().answerBytes(), config.settings().loadNames());
         nbdNodes = files.nbd().map(front -> new NbdNodeLink(connections, front));
         engine.start(node -> nbdNodes.isPresent() && nbdNodes.get().speaksTo(directory.ready(node))
                 ? nbdNodes.get() : nodes);
@@ -155,7 +155,7 @@
         engine.use(next.settings());
         clients.use(next.settings(), next.budget());
         pool.use(next.budget().requests());
-        nodes.use(next.budget().answerBytes());
+        nodes.use(next.budget().answerBytes(), next.settings().loadNames());
         connections.use(next.connectTimeout(), next.idleLimit(), next.budget().nodeConnections());
         discovery.use(next.discovery(), next.nodeLists());
         if (files.nbd().isPresent() && blockClients.isPresent()) {
--- a/src/main/java/cypressglade/core/Engine.java
+++ b/src/main/java/cypressglade/core/Engine.java
@@ -1,6 +1,7 @@
 package cypressglade.core;
 
 import cypressglade.core.NodeLink.Ending;
+import cypressglade.core.NodeLink.Told;
 import cypressglade.core.Scheduler.Actions;
 import cypressglade.core.Scheduler.Hint;
 import cypressglade.core.Scheduler.Load;
@@ -65,7 +66,7 @@
 
         private void ended(Ending ending) {
             long latency = Micros.of(Duration.between(sent, Time.now()));
-            post(() -> scheduler.probed(now(), node, ending.status(), latency, NO_LOAD));
+            post(() -> scheduler.probed(now(), node, ending.status(), latency, ending.told().load()));
         }
     }
 
@@ -147,15 +148,20 @@
         });
     }
 
-    /** How the given attempt ended; {@code over} where the request is finished with it. */
-    void ended(RequestLife<?> life, int attempt, long node, Status status, Duration latency, boolean over) {
+    /**
+     * How the given attempt ended, and what its answer told; {@code over} where the request is finished with
+     * it.
+     */
+    void ended(RequestLife<?> life, int attempt, long node, Ending ending, Duration latency, boolean over) {
+        Status status = ending.status();
+        Told told = ending.told();
         post(() -> {
             life.ended++;
             if (over) {
                 open.remove(life.id);
             }
             scheduler.outcome(now(), new Outcome(life.id, attempt, node, status, Micros.of(latency), over,
-                    0, 0, NO_LOAD));
+                    told.used(), told.byOthers(), told.load()));
         });
     }
 
--- a/src/main/java/cypressglade/core/NodeLink.java
+++ b/src/main/java/cypressglade/core/NodeLink.java
@@ -20,11 +20,28 @@
     }
 
     /** How an attempt or a probe ended; the answer is there only where it was served. */
-    record Ending(Scheduler.Status status, byte[] answer) {
+    record Ending(Scheduler.Status status, byte[] answer, Told told) {
         private static final byte[] NONE = {};
 
+        /** An end with no answer, or none that told anything. */
         public static Ending of(Scheduler.Status status) {
-            return new Ending(status, NONE);
+            return new Ending(status, NONE, Told.NOTHING);
         }
+
+        /** An answer that was read whole; its body counts only where it was served. */
+        public static Ending read(Scheduler.Status status, byte[] answer, Told told) {
+            return new Ending(status, status == Scheduler.Status.OK ? answer : NONE, told);
+        }
+    }
+
+    /**
+     * What a node's answer told beside itself, in the simulator's figures: {@code used}, the volume's use
+     * through all schedulers in the last finished period of the meter, in percent of its plan's rate, plus 1
+     * (0 where not told); {@code byOthers}, units that the shard served for the volume through other
+     * schedulers since its last answer to this one; {@code load}, the node's report by {@link
+     * Scheduler.Settings#loadNames} (empty where none, NaN where a name was not told).
+     */
+    record Told(int used, int byOthers, float[] load) {
+        public static final Told NOTHING = new Told(0, 0, new float[0]);
     }
 }
--- a/src/main/java/cypressglade/core/RequestLife.java
+++ b/src/main/java/cypressglade/core/RequestLife.java
@@ -82,7 +82,7 @@
                     counters.add(Name.ANSWERED_SERVED);
                     caller.served(ending.answer());
                 }
-                engine.ended(this, attempt, send.node(), ending.status(), Duration.between(sent, Time.now()),
+                engine.ended(this, attempt, send.node(), ending, Duration.between(sent, Time.now()),
                         served || gone);
                 if (served || gone) {
                     return;
--- a/src/main/java/cypressglade/http/NodeClient.java
+++ b/src/main/java/cypressglade/http/NodeClient.java
@@ -2,6 +2,7 @@
 
 import cypressglade.core.NodeDirectory;
 import cypressglade.core.NodeLink;
+import cypressglade.core.NodeLink.Told;
 import cypressglade.core.Scheduler.Status;
 import cypressglade.core.Time;
 import cypressglade.net.NodePool;
@@ -26,18 +27,24 @@
     private static final Duration MOST_SILENCE = Duration.ofMillis(200);
 
     private final NodePool pool;
+    private volatile List<String> loadNames;
     private volatile int mostComing;
     private int coming;
 
-    /** Nodes behind a pool, whose answers may take so much room while they come. */
-    public NodeClient(NodePool pool, int mostComing) {
+    /**
+     * Nodes behind a pool, whose answers may take so much room while they come, and whose load reports
+     * name these figures ({@code Settings.loadNames}).
+     */
+    public NodeClient(NodePool pool, int mostComing, List<String> loadNames) {
         this.pool = pool;
         this.mostComing = mostComing;
+        this.loadNames = List.copyOf(loadNames);
     }
 
-    /** Takes a new bound on what is coming in. */
-    public void use(int most) {
+    /** Takes a new bound on what is coming in, and the names of a load report. */
+    public void use(int most, List<String> names) {
         mostComing = most;
+        loadNames = List.copyOf(names);
     }
 
     @Override
@@ -97,6 +104,11 @@
             return body.bytes();
         }
 
+        @Override
+        protected Told told() {
+            return parser.whole() ? parser.report().told(loadNames) : Told.NOTHING;
+        }
+
         private Status status() {
             if (parser.neverRan() && (parser.status() == 503 || parser.status() == 504)) {
                 return Status.FULL;
--- a/src/main/java/cypressglade/http/ResponseParser.java
+++ b/src/main/java/cypressglade/http/ResponseParser.java
@@ -35,6 +35,7 @@
     private boolean chunked;
     private boolean close;
     private boolean neverRan;
+    private String volumeLoad = "", otherHosts = "", metrics = ""; // what the answer tells beside itself
 
     /** A reader of an answer with a body of so many bytes at most. */
     ResponseParser(Taker body, long mostBody) {
@@ -79,6 +80,18 @@
         return neverRan;
     }
 
+    /** Whether the answer was read to its end. */
+    boolean whole() {
+        return part == Part.DONE;
+    }
+
+    /**
+     * The heads {@code Volume-Load}, {@code Other-Hosts} and {@code Endpoint-Load-Metrics}, "" where absent.
+     */
+    LoadReport report() {
+        return new LoadReport(volumeLoad, otherHosts, metrics);
+    }
+
     /** Whether the connection may carry another request. */
     boolean reusable() {
         return part == Part.DONE && !close;
@@ -182,6 +195,9 @@
             }
             case "connection" -> close |= value.equalsIgnoreCase("close");
             case "x-never-ran" -> neverRan = value.equals("1");
+            case "volume-load" -> volumeLoad = value;
+            case "other-hosts" -> otherHosts = value;
+            case "endpoint-load-metrics" -> metrics = value;
             default -> { }
         }
     }
@@ -196,6 +212,7 @@
             length = -1;
             chunked = false;
             neverRan = false;
+            volumeLoad = otherHosts = metrics = "";
         } else if (status == 204 || status == 304) {
             part = Part.DONE;
         } else if (chunked) {
--- a/src/main/java/cypressglade/net/NodePool.java
+++ b/src/main/java/cypressglade/net/NodePool.java
@@ -2,6 +2,7 @@
 
 import cypressglade.core.Counters;
 import cypressglade.core.NodeDirectory;
+import cypressglade.core.NodeLink;
 import cypressglade.core.NodeLink.Attempt;
 import cypressglade.core.NodeLink.Ending;
 import cypressglade.core.Scheduler.Status;
@@ -197,6 +198,11 @@
         /** It has ended: what it holds is given back. */
         protected void over() { }
 
+        /** What the answer told beside itself; nothing where it was not read whole. */
+        protected NodeLink.Told told() {
+            return NodeLink.Told.NOTHING;
+        }
+
         /** Starts it; returns at once. */
         public Attempt start() {
             loop.execute(this::open);
@@ -346,7 +352,7 @@
             } else if (dial != null) {
                 dial.cancel();
             }
-            Ending ending = status == Status.OK ? new Ending(status, answer()) : Ending.of(status);
+            Ending ending = Ending.read(status, answer(), told());
             over();
             ended.accept(ending);
         }
--- a/src/test/java/cypressglade/core/RequestLifeTest.java
+++ b/src/test/java/cypressglade/core/RequestLifeTest.java
@@ -108,7 +108,7 @@
     void eachOutcomeHasItsOneAnswer(Status status, String expected, int attempts) throws Exception {
         begin();
         for (int i = 0; i < attempts; i++) {
-            attempt().accept(new Ending(status, DATA));
+            attempt().accept(new Ending(status, DATA, NodeLink.Told.NOTHING));
         }
         assertThat(answer()).isEqualTo(expected);
         assertThat(answers).isEmpty();
@@ -134,7 +134,7 @@
             life.run();
         }
         begin();
-        attempt().accept(new Ending(Status.OK, DATA));
+        attempt().accept(new Ending(Status.OK, DATA, NodeLink.Told.NOTHING));
         assertThat(answer()).isEqualTo("served 3");
     }
 
@@ -145,7 +145,7 @@
         life.signal(new RequestLife.Cancel(0));
         pool.start(life);
         attempt().accept(Ending.of(Status.FULL));
-        attempt().accept(new Ending(Status.OK, DATA));
+        attempt().accept(new Ending(Status.OK, DATA, NodeLink.Told.NOTHING));
         assertThat(answer()).isEqualTo("served 3");
     }
 
--- /dev/null
+++ b/src/test/java/cypressglade/http/LoadReportTest.java
@@ -0,0 +1,61 @@
+package cypressglade.http;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import cypressglade.core.NodeLink.Told;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** What answers tell beside themselves, read as the module's figures; what cannot be read tells nothing. */
+class LoadReportTest {
+    private static final List<String> NAMES = List.of("queue", "latency_ms");
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', textBlock = """
+            37    | 12.6 | 38 | 13
+            0     | ''   | 1  | 0
+            ''    | 4    | 0  | 4
+            abc   | -3   | 0  | 0
+            1e5   | 0x10 | 0  | 0
+            NaN   | 7d   | 0  | 0
+            99999 | 5    | 65535 | 5
+            """)
+    void useAndUnitsByOthers(String volumeLoad, String otherHosts, int used, int byOthers) {
+        Told told = new LoadReport(volumeLoad, otherHosts, "").told(NAMES);
+        assertThat(told.used()).isEqualTo(used);
+        assertThat(told.byOthers()).isEqualTo(byOthers);
+        assertThat(told.load()).isEmpty();
+    }
+
+    @Test
+    void loadIsTakenByTheNamesOfTheSettingsInTheirOrder() {
+        assertThat(new LoadReport("", "", "TEXT latency_ms=41.5, inflight=7, queue=2").told(NAMES).load())
+                .containsExactly(2f, 41.5f);
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', textBlock = """
+            TEXT queue=2
+            TEXT queue=2, latency_ms=x
+            queue=2, latency_ms=4
+            TEXT queue=2; latency_ms=4
+            ''
+            """)
+    void aReportThatIsNotWholeTellsNoLoad(String metrics) {
+        assertThat(new LoadReport("", "", metrics).told(NAMES).load()).isEmpty();
+    }
+
+    @Test
+    void namesAreTakenWhateverTheirCase() {
+        assertThat(new LoadReport("", "", "text Queue=2, LATENCY_MS=4").told(List.of("queue", "Latency_ms")).load())
+                .containsExactly(2f, 4f);
+    }
+
+    @Test
+    void aNameToldTwiceCountsOnce() {
+        assertThat(new LoadReport("", "", "TEXT queue=2, queue=9, latency_ms=4").told(NAMES).load())
+                .containsExactly(2f, 4f);
+    }
+}
