Membership after Lifeguard: local health, nacks, names in use; mend the broken build

The class, its package and its users have the new name now.

A member that stands still or loses what it is sent took others for dead with the same haste as a healthy one.

Change: LocalHealth is Lifeguard's multiplier (0 to 8): up on a failed probe, a nack that did not come, a refutation of its own; down on an answered probe; it stretches the probe's period and its waits, not the verdicts on suspects. Another process under a name in use at another address is refused, counted and told to the owner. MemberNet can stand members still and counts datagrams.

--- a/src/main/java/cypressglade/lab/MemberNet.java
+++ b/src/main/java/cypressglade/lab/MemberNet.java
@@ -1,4 +1,4 @@
-package cypressglade.standin;
+package cypressglade.lab;
 
 import cypressglade.member.Member;
 import cypressglade.member.Member.State;
@@ -18,14 +18,28 @@
 import java.util.function.BiPredicate;
 import java.util.function.ToIntFunction;
 
-/** A network of instances in virtual time, with losses and cuts, and all chance from one seed. */
-public final class VirtualNet {
+/**
+ * A network of membership instances ({@link Swim}) in virtual time, with losses, delays, cuts one way or
+ * both, stalled members and restarts, and all chance from one seed. Names are {@code i-N}; all seek {@code
+ * i-0} first. What an instance sends is counted, so that the cost of the protocol can be read by member and
+ * period.
+ *
+ * <p>A stalled member is a process that stands still (a pause, SIGSTOP): it neither ticks nor reads, and what
+ * comes to it waits until it goes on, as in a socket's buffer.
+ */
+public final class MemberNet {
     public Instant now = Instant.EPOCH;
     public double loss;
     /** Whether the first can reach the second, by name. */
     public BiPredicate<String, String> cut = (from, to) -> false;
     public ToIntFunction<Message> size = message -> 0;
     public long bytes;
+    /** Datagrams sent, whether they arrive or not. */
+    public long sent;
+    /** Delay of a datagram, drawn evenly between these, in milliseconds. */
+    public int leastDelayMs = 1;
+    public int mostDelayMs = 20;
+    private final Map<String, List<Runnable>> stalled = new LinkedHashMap<>();
     public final Map<String, Swim> running = new LinkedHashMap<>();
     /** Each change that any instance took in. */
     public final List<Change> changes = new ArrayList<>();
@@ -42,7 +56,7 @@
     /** What one instance took in of a member. */
     public record Change(Instant at, String seenBy, Member member) { }
 
-    public VirtualNet(long seed, Timing timing) {
+    public MemberNet(long seed, Timing timing) {
         random = new Random(seed);
         this.timing = timing;
     }
@@ -60,13 +74,15 @@
             @Override
             public void send(InetSocketAddress to, Message message) {
                 bytes += size.applyAsInt(message);
+                sent++;
                 String there = names.get(to);
                 if (random.nextDouble() >= loss && !cut.test(name, there)) {
-                    after(Duration.ofMillis(1 + random.nextInt(20)), () -> {
+                    int delay = leastDelayMs + random.nextInt(Math.max(1, mostDelayMs - leastDelayMs + 1));
+                    after(Duration.ofMillis(delay), () -> at(there, () -> {
                         if (running.containsKey(there)) {
                             running.get(there).receive(message, self.address(), now);
                         }
-                    });
+                    }));
                 }
             }
 
@@ -76,7 +92,8 @@
                 after(Duration.ofMillis(5), () -> {
                     Swim mine = running.get(name);
                     Swim theirs = running.get(there);
-                    if (mine != null && theirs != null && !cut.test(name, there) && !cut.test(there, name)) {
+                    if (mine != null && theirs != null && !cut.test(name, there) && !cut.test(there, name)
+                            && !stalled.containsKey(name) && !stalled.containsKey(there)) {
                         List<Member> list = mine.list();
                         mine.merge(theirs.list(), now);
                         theirs.merge(list, now);
@@ -95,18 +112,48 @@
     }
 
     private void tick(String name, Swim swim) {
-        after(Duration.between(now, swim.due()).plusNanos(1), () -> {
+        after(Duration.between(now, swim.due()).plusNanos(1), () -> at(name, () -> {
             if (running.get(name) == swim) {
                 swim.tick(now);
                 if (swim.due().isBefore(Instant.MAX)) {
                     tick(name, swim);
                 }
             }
-        });
+        }));
     }
 
+    /** Runs what is for a member now, or when it goes on where it stands still. */
+    private void at(String name, Runnable run) {
+        List<Runnable> waiting = stalled.get(name);
+        if (waiting == null) {
+            run.run();
+        } else {
+            waiting.add(run);
+        }
+    }
+
+    /** Ends a member's process: its messages are lost from here on, and it is not told. */
     public void stop(int number) {
         running.remove("i-" + number);
+        stalled.remove("i-" + number);
+    }
+
+    /** Stands a member still: nothing it was sent or has to do runs until {@link #resume}. */
+    public void stall(int number) {
+        stalled.putIfAbsent("i-" + number, new ArrayList<>());
+    }
+
+    /** Lets a member that stood still go on, with what came for it meanwhile, in order. */
+    public void resume(int number) {
+        List<Runnable> waiting = stalled.remove("i-" + number);
+        if (waiting != null) {
+            waiting.forEach(Runnable::run);
+        }
+    }
+
+    /** The name of the member of this number. */
+    public static String name(int number) {
+        return "i-" + number;
     }
 
     private void after(Duration delay, Runnable run) {
--- a/src/main/java/cypressglade/member/Message.java
+++ b/src/main/java/cypressglade/member/Message.java
@@ -12,6 +12,6 @@
  * @param targetAt where that one is, for an indirect ping
  */
 public record Message(Kind kind, long number, String target, InetSocketAddress targetAt, List<News> news) {
-    /** The kinds of SWIM. */
-    public enum Kind { PING, ACK, PING_FOR }
+    /** The kinds of SWIM, and Lifeguard's nack: a helper that asked for another heard nothing in time. */
+    public enum Kind { PING, ACK, PING_FOR, NACK }
 }
--- a/src/main/java/cypressglade/member/Swim.java
+++ b/src/main/java/cypressglade/member/Swim.java
@@ -25,6 +25,11 @@
  * round (SWIM, 4.3). Who does not answer is asked for through others; who answers none of them is suspected,
  * and taken for dead if it does not overrule that in time. Who stands accused is told with every message that
  * goes to it, as it can clear itself only when it knows.
+ *
+ * <p>After Lifeguard, the period and the wait for an answer grow with what this member itself missed
+ * ({@link LocalHealth}); helpers that hear nothing in time say so (a nack), so that a prober whose helpers
+ * are silent too takes itself for the slow one. A name in use at one address is not taken by another life at
+ * another address while the first is present.
  */
 public final class Swim {
     private static final int MOST_RELAYS = 64;
@@ -39,14 +44,17 @@
     private final List<String> round = new ArrayList<>();
     private final Rumours rumours = new Rumours();
     private final Map<Long, Relay> relays = new LinkedHashMap<>();
+    private final LocalHealth health = new LocalHealth();
     private Member self;
     private long lastNumber;
     private Probe probe;
     private Instant nextProbe;
+    private Instant nextJudge;
     private Instant nextExchange;
     private Instant nextReconnect;
     private long conflicts;
     private long turnedAway;
+    private long namesRefused;
 
     /** Where it all goes. */
     public interface Out {
@@ -57,6 +65,11 @@
 
         /** What is known of a member has changed. */
         void changed(Member member);
+
+        /** Word of {@code claim} was not taken: its name is in use by {@code known}, another process. */
+        default void refused(Member known, Member claim) {
+            // nothing by default; the owner logs it
+        }
     }
 
     private static final class Entry {
@@ -75,17 +88,24 @@
      * others. At 5% loss a second ping spares nine of ten indirect ones, which cost four messages each, and
      * nine of ten suspicions, which cost all members.
      */
-    private record Probe(long number, String target, Instant nextAt, int tries) {
+    private record Probe(long number, String target, Instant nextAt, int tries, int helpers, int nacks) {
         private static final int DIRECT = 2;
         private static final int DONE = 3;
 
         boolean waits() {
             return tries < DONE;
         }
+
+        Probe nacked() {
+            return new Probe(number, target, nextAt, tries, helpers, nacks + 1);
+        }
     }
 
-    /** A ping that was sent for another. */
-    private record Relay(InetSocketAddress asker, long number, Instant until) { }
+    /** A ping that was sent for another; a nack goes back at {@code nackAt} where no answer came by then. */
+    private record Relay(InetSocketAddress asker, long number, Instant until, Instant nackAt) { }
+
+    /** Of the wait for an answer, the part after which a helper that heard nothing says so (Lifeguard). */
+    private static final double NACK_PART = 0.8;
 
     /** Knows itself and where others may be found; the first tick joins them. */
     public Swim(Member self, List<InetSocketAddress> seeds, Timing timing, RandomGenerator random, Out out,
@@ -96,6 +116,7 @@
         this.random = random;
         this.out = out;
         nextProbe = now;
+        nextJudge = now;
         nextReconnect = now;
         nextExchange = now.plus(timing.exchange(1));
     }
@@ -126,10 +147,24 @@
         return turnedAway;
     }
 
+    /** How often word of another process under a name in use was not taken. */
+    public long namesRefused() {
+        return namesRefused;
+    }
+
+    /** This member's own health, by which it waits longer. */
+    public LocalHealth health() {
+        return health;
+    }
+
     /** When the next tick is wanted. */
     public Instant due() {
         Instant due = nextProbe.isBefore(nextReconnect) ? nextProbe : nextReconnect;
+        due = nextJudge.isBefore(due) ? nextJudge : due;
         due = nextExchange.isBefore(due) ? nextExchange : due;
+        for (Relay relay : relays.values()) {
+            due = relay.nackAt.isBefore(due) ? relay.nackAt : due;
+        }
         return probe != null && probe.waits() && probe.nextAt.isBefore(due) ? probe.nextAt : due;
     }
 
@@ -141,11 +176,15 @@
         if (probe != null && probe.waits() && !now.isBefore(probe.nextAt)) {
             tryAgain(now);
         }
+        nack(now);
         if (!now.isBefore(nextProbe)) {
             endProbe(now);
-            judge(now);
             startProbe(now);
-            nextProbe = now.plus(timing.period());
+            nextProbe = now.plus(health.scale(timing.period()));
+        }
+        if (!now.isBefore(nextJudge)) { // verdicts keep their time: only the probes of a slow member wait
+            judge(now);
+            nextJudge = now.plus(timing.period());
         }
         if (!now.isBefore(nextExchange)) {
             pick(present(), 1, Set.of()).forEach(member -> out.exchange(member.address()));
@@ -173,7 +212,8 @@
             case PING_FOR -> {
                 if (relays.size() < MOST_RELAYS && message.targetAt() != null) {
                     long number = ++lastNumber;
-                    relays.put(number, new Relay(from, message.number(), now.plus(timing.period())));
+                    Instant nackAt = now.plusNanos((long) (NACK_PART * timing.answer().toNanos()));
+                    relays.put(number, new Relay(from, message.number(), now.plus(timing.period()), nackAt));
                     send(message.targetAt(), message.target(), Kind.PING, number, message.target(), null);
                 }
             }
@@ -183,6 +223,12 @@
                     send(relay.asker, "", Kind.ACK, relay.number, "", null);
                 } else if (probe != null && probe.number == message.number()) {
                     probe = null;
+                    health.answered();
+                }
+            }
+            case NACK -> {
+                if (probe != null && probe.number == message.number()) {
+                    probe = probe.nacked();
                 }
             }
             default -> throw new IllegalStateException();
@@ -200,7 +246,7 @@
             List<Member> told = pick(present(), TOLD_ON_LEAVING, Set.of());
             self = self.reborn(self.incarnation() + 1).as(State.LEFT);
             told.forEach(member -> send(member.address(), member.name(), Kind.ACK, 0, "", null));
-            nextProbe = nextReconnect = nextExchange = Instant.MAX;
+            nextProbe = nextJudge = nextReconnect = nextExchange = Instant.MAX;
             probe = null;
         }
     }
@@ -216,7 +262,8 @@
             Entry entry = others.get(round.remove(round.size() - 1));
             if (entry != null && entry.member.present()) {
                 Member target = entry.member;
-                probe = new Probe(++lastNumber, target.name(), now.plus(timing.answer()), 1);
+                probe = new Probe(++lastNumber, target.name(), now.plus(health.scale(timing.answer())),
+                        1, 0, 0);
                 send(target.address(), target.name(), Kind.PING, probe.number, target.name(), null);
                 return;
             }
@@ -224,7 +271,8 @@
     }
 
     private void tryAgain(Instant now) {
-        probe = new Probe(probe.number, probe.target, now.plus(timing.answer()), probe.tries + 1);
+        probe = new Probe(probe.number, probe.target, now.plus(health.scale(timing.answer())),
+                probe.tries + 1, probe.helpers, probe.nacks);
         Entry target = others.get(probe.target);
         if (target == null) {
             return;
@@ -232,15 +280,34 @@
         if (probe.tries <= Probe.DIRECT) {
             send(target.member.address(), probe.target, Kind.PING, probe.number, probe.target, null);
         } else {
-            for (Member helper : pick(present(), timing.helpers(), Set.of(probe.target))) {
+            List<Member> helpers = pick(present(), timing.helpers(), Set.of(probe.target));
+            probe = new Probe(probe.number, probe.target, probe.nextAt, probe.tries, helpers.size(), 0);
+            for (Member helper : helpers) {
                 send(helper.address(), helper.name(), Kind.PING_FOR, probe.number, probe.target,
                         target.member.address());
             }
         }
     }
 
+    /** Tells those who asked for a ping that nothing came yet: they learn that they are heard. */
+    private void nack(Instant now) {
+        for (Map.Entry<Long, Relay> waiting : relays.entrySet()) {
+            Relay relay = waiting.getValue();
+            if (!now.isBefore(relay.nackAt)) {
+                send(relay.asker, "", Kind.NACK, relay.number, "", null);
+                waiting.setValue(new Relay(relay.asker, relay.number, relay.until, Instant.MAX));
+            }
+        }
+    }
+
     private void endProbe(Instant now) {
         Entry target = probe == null ? null : others.get(probe.target);
+        if (probe != null) {
+            health.probeFailed();
+            if (probe.nacks < probe.helpers) { // helpers that would have said so did not: the fault is here
+                health.nackMissed();
+            }
+        }
         probe = null;
         if (target != null && target.member.present()) {
             apply(new News(target.member.as(State.SUSPECT), self.name()), now);
@@ -323,6 +390,12 @@
             return;
         }
         Entry entry = others.get(told.name());
+        if (entry != null && told.present() && told.life() != entry.member.life() && entry.member.present()
+                && !told.address().equals(entry.member.address())) {
+            namesRefused++; // another process under a name in use; a restart comes at the same address
+            out.refused(entry.member, told);
+            return;
+        }
         if (entry == null) {
             if (!told.present()) {
                 return; // who is gone need not be known
@@ -371,6 +444,9 @@
         }
         if (told.incarnation() >= self.incarnation() && (other || told.state() != State.ALIVE)
                 && self.state() != State.LEFT) {
+            if (!other) {
+                health.refuted(); // accused while alive: this member may be the slow one
+            }
             self = self.reborn(told.incarnation() + 1);
             rumours.add(new News(self, self.name()));
         }
--- a/src/test/java/cypressglade/member/SwimTest.java
+++ b/src/test/java/cypressglade/member/SwimTest.java
@@ -3,7 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import cypressglade.member.Member.State;
-import cypressglade.standin.VirtualNet;
+import cypressglade.lab.MemberNet;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.time.Instant;
@@ -19,7 +19,7 @@
 /** Membership in virtual time. */
 class SwimTest {
     private static final Duration MINUTE = Duration.ofMinutes(1);
-    private final VirtualNet net = new VirtualNet(11, Timing.standard());
+    private final MemberNet net = new MemberNet(11, Timing.standard());
 
     private void start(int count) {
         IntStream.range(0, count).forEach(net::start);
@@ -110,9 +110,9 @@
     @Test
     void listsThatPassASuspicionOnDoNotShareIt() {
         Swim swim = net.start(0);
-        Member accused = new Member("x", VirtualNet.address(9), 5, 0, State.SUSPECT);
+        Member accused = new Member("x", MemberNet.address(9), 5, 0, State.SUSPECT);
         swim.receive(new Message(Message.Kind.PING, 1, "", null, List.of(new News(member("y", State.ALIVE), ""),
-                new News(accused, "y"))), VirtualNet.address(8), net.now);
+                new News(accused, "y"))), MemberNet.address(8), net.now);
         swim.merge(List.of(accused), net.now);
         Duration byTwo = Timing.standard().suspicion(2, 1); // of y, and of its own probes
         net.pass(byTwo.minusMillis(500));
@@ -124,7 +124,7 @@
     @Test
     void roomForMembersIsBounded() {
         Swim swim = net.start(0);
-        IntStream.range(1, 2000).forEach(i -> swim.merge(List.of(new Member("x-" + i, VirtualNet.address(i), i, 1,
+        IntStream.range(1, 2000).forEach(i -> swim.merge(List.of(new Member("x-" + i, MemberNet.address(i), i, 1,
                 State.ALIVE)), net.now));
         assertThat(swim.present()).hasSize(Timing.standard().mostMembers());
         assertThat(swim.turnedAway()).isEqualTo(1999 - Timing.standard().mostMembers());
@@ -136,11 +136,11 @@
         SplittableRandom random = new SplittableRandom(3);
         for (int round = 0; round < 200; round++) {
             List<Member> told = new java.util.ArrayList<>(IntStream.range(0, 8).mapToObj(i -> new Member("x",
-                    VirtualNet.address(9), 5, random.nextInt(4), State.values()[random.nextInt(4)])).toList());
-            told.add(0, new Member("x", VirtualNet.address(9), 5, 0, State.ALIVE));
+                    MemberNet.address(9), 5, random.nextInt(4), State.values()[random.nextInt(4)])).toList());
+            told.add(0, new Member("x", MemberNet.address(9), 5, 0, State.ALIVE));
             Member last = told.stream().reduce((one, other) -> other.overrules(one) ? other : one).orElseThrow();
             java.util.Collections.shuffle(told.subList(1, told.size()), new Random(round));
-            Swim swim = new VirtualNet(1, Timing.standard()).start(0);
+            Swim swim = new MemberNet(1, Timing.standard()).start(0);
             swim.merge(told, Instant.EPOCH);
             assertThat(swim.list().get(1)).isEqualTo(last);
         }
@@ -158,7 +158,7 @@
     }
 
     private static Member member(String name, State state) {
-        return new Member(name, VirtualNet.address(1), 1, 1, state);
+        return new Member(name, MemberNet.address(1), 1, 1, state);
     }
 
     /** Numbers as they come, and which of them are fresh. */
@@ -167,7 +167,7 @@
         "'9223372036854775807,1', FR"})
     void numberCountsOnceWithinTheWindow(String numbers, String verdicts) {
         ReplayGuard guard = new ReplayGuard(8);
-        InetSocketAddress at = VirtualNet.address(1);
+        InetSocketAddress at = MemberNet.address(1);
         StringBuilder found = new StringBuilder();
         for (String number : numbers.split(",")) {
             found.append(guard.check(at, 7, 8, Long.parseLong(number)).name().charAt(0));
--- a/src/test/java/cypressglade/peer/LearningMeasure.java
+++ b/src/test/java/cypressglade/peer/LearningMeasure.java
@@ -17,7 +17,7 @@
 import cypressglade.standin.Site;
 import cypressglade.standin.StorageNode;
 import cypressglade.standin.StorageNode.Arrival;
-import cypressglade.standin.VirtualNet;
+import cypressglade.lab.MemberNet;
 import java.io.DataInputStream;
 import java.net.InetSocketAddress;
 import java.net.Socket;
@@ -248,7 +248,7 @@
     private void members() {
         List<Double> bytes = new ArrayList<>();
         for (int count : new int[] {10, 50, 200}) {
-            VirtualNet net = new VirtualNet(17, Timing.standard());
+            MemberNet net = new MemberNet(17, Timing.standard());
             net.loss = 0.05;
             IntStream.range(0, count).forEach(net::start);
             net.pass(Duration.ofMinutes(10)); // by then all who came are known to all
@@ -259,7 +259,7 @@
             figures.say("member_bytes_a_second_" + count, net.bytes / 60.0 / count);
         }
         figures.atMost("member_bytes_growth", bytes.get(2) / bytes.get(0), 1.5);
-        VirtualNet net = new VirtualNet(19, Timing.standard());
+        MemberNet net = new MemberNet(19, Timing.standard());
         net.loss = 0.05;
         IntStream.range(0, 200).forEach(net::start);
         net.pass(Duration.ofMinutes(3));
