Count a node list once the module has taken it, which mends a flaky test of late hints

Cause: Engine. told counted `lists` when the list was posted, not when the module had it, so that a look of before the list could still be on its way to the owner of the hints when the test let the late words go. Ruled out: the module (it refuses a hint of an earlier start, HintTest) and the directory, which is updated at once.

--- a/src/main/java/cypressglade/core/Engine.java
+++ b/src/main/java/cypressglade/core/Engine.java
@@ -136,8 +136,10 @@
     /** Takes in what discovery told; it counts for the links at once. */
     public void told(NodeList list) {
         var entries = directory.update(list);
-        post(() -> scheduler.nodes(now(), NodeDirectory.kind(list), entries));
-        counters.add(Counters.Name.LISTS);
+        post(() -> {
+            scheduler.nodes(now(), NodeDirectory.kind(list), entries);
+            counters.add(Counters.Name.LISTS); // so that who waits for it finds the module knowing
+        });
     }
 
     void taken(RequestLife<?> life, IoRequest request) {
