Keep a fleet view, and a rig of real processes with faults between them

Operators see how many schedulers behave together when links fail, members stall, or restart in the middle of work; it is shown on processes, not only in a model.

Change: package fleet has the view (each change one line of JSON in the log, the whole at the operators' door by the read-only call `fleet`) and the bounds by arithmetic. The peers' file takes period_ms and view; deploy/fleet.json is the operators' own file with both on, and run stays as it was (deploy/peers.json is off). Transfers go out from the address that others know. Package lab: Faults (what each one-way link does, by seed), FaultScript (steps with times), FaultHub (UDP and TCP links between processes), ProcessFleet (real processes, waits on what they log), and the command `lab` that plays a script. `make measure-fleet-view`.

Tests: FleetViewTest starts five processes: crash and restart under the same name, a 2|3 split, a one-way cut, a deaf member, SIGSTOP beyond the suspicion, a tenth lost for a minute, a second process under a name in use.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 CONFIG ?= deploy/config.example.json
 
-.PHONY: build test lint run clean measure-learning measure-console
+.PHONY: build test lint run clean measure-learning measure-console measure-fleet-view
 
 define measure
 mvn -q -B test-compile
@@ -27,5 +27,8 @@
 measure-console:
 	$(call measure,cypressglade.control.ConsoleMeasure)
 
+measure-fleet-view:
+	$(call measure,cypressglade.fleet.FleetViewMeasure)
+
 clean:
 	mvn -q clean
--- a/src/main/java/cypressglade/cli/Doorway.java
+++ b/src/main/java/cypressglade/cli/Doorway.java
@@ -24,6 +24,7 @@
 import java.time.Instant;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.BooleanSupplier;
 
 /**
@@ -45,6 +46,9 @@
         /** Sends clients away, or takes them again. */
         void evacuate(boolean away);
 
+        /** What it sees of the fleet (see {@link Door.Acts#fleet}). */
+        Optional<String> fleet();
+
         /** So many processes serve as this instance now (see {@link Handover}). */
         void beside(int processes);
     }
@@ -184,6 +188,11 @@
         scheduler.evacuate(false);
     }
 
+    @Override
+    public Optional<String> fleet() {
+        return scheduler.fleet();
+    }
+
     @Override
     public void close() {
         server.close();
--- a/src/main/java/cypressglade/cli/Main.java
+++ b/src/main/java/cypressglade/cli/Main.java
@@ -173,6 +173,7 @@
         asking.put("undrain", new OperatorCommand.Undrain());
         asking.put("peers", new PeersCommand());
         asking.put("new-key", new PeersCommand.NewKey());
+        asking.put("lab", new LabCommand());
         asking.put("completion", new CompletionCommand(commands));
         asking.forEach(commands::addCommand);
         return asking;
--- a/src/main/java/cypressglade/cli/Serve.java
+++ b/src/main/java/cypressglade/cli/Serve.java
@@ -94,6 +94,11 @@
                         Serve.this.evacuate(away);
                     }
 
+                    @Override
+                    public Optional<String> fleet() {
+                        return peers.flatMap(Peers::view);
+                    }
+
                     @Override
                     public void beside(int processes) {
                         engine.beside(processes);
--- a/src/main/java/cypressglade/config/PeersConfigParser.java
+++ b/src/main/java/cypressglade/config/PeersConfigParser.java
@@ -1,5 +1,6 @@
 package cypressglade.config;
 
+import cypressglade.member.Timing;
 import cypressglade.peer.KeyRing;
 import cypressglade.peer.PeersConfig;
 import cypressglade.peer.PeersConfig.Snapshots;
@@ -22,6 +23,9 @@
     private static final int MOST_NODES = 4096;
     private static final int MOST_NAME = 64;
     private static final long MOST_WAIT_MS = 2000;
+    /** Below, a scheduler that waits for its share of a core would be taken for silent. */
+    private static final long LEAST_PERIOD_MS = 100;
+    private static final long MOST_PERIOD_MS = 60_000;
     private static final long MOST_SPAN_S = 86_400;
 
     private final Values values;
@@ -77,7 +81,10 @@
         try {
             return new Talk(listen, advertised, List.copyOf(seeds), KeyRing.read(keyFile),
                     Duration.ofSeconds(whole("refresh_s", 1, MOST_SPAN_S, 5)),
-                    values.flag("share_cold", "true"));
+                    values.flag("share_cold", "true"),
+                    Timing.every(Duration.ofMillis(
+                            whole("period_ms", LEAST_PERIOD_MS, MOST_PERIOD_MS, 1000))),
+                    values.flag("view", "false"));
         } catch (IOException unusable) {
             throw values.bad("key_file", "cannot be used: " + unusable.getMessage());
         }
--- a/src/main/java/cypressglade/net/Loop.java
+++ b/src/main/java/cypressglade/net/Loop.java
@@ -5,6 +5,7 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -70,7 +71,14 @@
 
     /** Connects; either {@code up} or {@code down} is called, once, on this thread. */
     public Dial dial(InetSocketAddress address, Consumer<Wire> up, Runnable down) {
-        IoFuture<StreamConnection> future = worker.openStreamConnection(address, null, TCP);
+        return dial(Optional.empty(), address, up, down);
+    }
+
+    /** The same, from a local address; from whichever the route gives where there is none. */
+    public Dial dial(Optional<InetSocketAddress> from, InetSocketAddress address, Consumer<Wire> up,
+            Runnable down) {
+        IoFuture<StreamConnection> future = from.isEmpty() ? worker.openStreamConnection(address, null, TCP)
+                : worker.openStreamConnection(from.get(), address, null, null, TCP);
         future.addNotifier(new IoFuture.HandlingNotifier<StreamConnection, Void>() {
             @Override
             public void handleDone(StreamConnection connection, Void nothing) {
--- a/src/main/java/cypressglade/operate/Door.java
+++ b/src/main/java/cypressglade/operate/Door.java
@@ -2,6 +2,7 @@
 
 import cypressglade.operate.HandDrains.Kind;
 import java.util.Locale;
+import java.util.Optional;
 
 /**
  * The calls of the operators' door: one line in, one line out, {@code 200} for yes and {@code 400} for no. No
@@ -30,6 +31,9 @@
 
         /** Ends the drain: clients may come again. */
         void activate();
+
+        /** What this process sees of the fleet, as one line; nothing where no view is kept. */
+        Optional<String> fleet();
     }
 
     private final Acts acts;
@@ -64,13 +68,15 @@
                 acts.activate();
                 yield "200 active";
             }
+            case "fleet" -> acts.fleet().map(view -> "200 " + view).orElse("400 no fleet view is kept here: "
+                    + "set \"view\": true in the file that --peers names, and restart");
             default -> unknown(line);
         };
     }
 
     private static String unknown(String line) {
         return "400 unknown call '" + clip(line)
-                + "': send readyz, exclude ID, include ID, evacuate or activate";
+                + "': send readyz, exclude ID, include ID, evacuate, activate or fleet";
     }
 
     private static String said(HandDrains.Result result, String done) {
--- a/src/main/java/cypressglade/peer/PeerReport.java
+++ b/src/main/java/cypressglade/peer/PeerReport.java
@@ -12,6 +12,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -36,8 +37,8 @@
         PeerReport report = new PeerReport(new ArrayList<>(), new ArrayList<>(), new LinkedHashMap<>(),
                 Time.now());
         try (Loop loop = new Loop()) {
-            new TransferClient(loop, Runnable::run, new SecureRandom(), () -> keys).pull(instance, MOST_WORDS,
-                    new TransferClient.Listener() {
+            new TransferClient(loop, Optional.empty(), Runnable::run, new SecureRandom(), () -> keys).pull(
+                    instance, MOST_WORDS, new TransferClient.Listener() {
                         @Override
                         public List<Member> members() {
                             return List.of();
--- a/src/main/java/cypressglade/peer/Peers.java
+++ b/src/main/java/cypressglade/peer/Peers.java
@@ -5,6 +5,7 @@
 import cypressglade.core.Engine;
 import cypressglade.core.NodeFact;
 import cypressglade.core.Time;
+import cypressglade.fleet.View;
 import cypressglade.learn.Learner;
 import cypressglade.learn.Origin;
 import cypressglade.learn.Word;
@@ -13,7 +14,6 @@
 import cypressglade.member.Message;
 import cypressglade.member.ReplayGuard;
 import cypressglade.member.Swim;
-import cypressglade.member.Timing;
 import cypressglade.net.Datagrams;
 import cypressglade.net.Loop;
 import cypressglade.snapshot.SnapshotStore;
@@ -32,11 +32,14 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.Executors;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -48,6 +51,7 @@
 public final class Peers implements AutoCloseable {
     private static final System.Logger LOG = System.getLogger(Peers.class.getName());
     private static final Duration LOOK = Duration.ofMillis(250); // a silence of one request lasts longer
+    private static final long VIEW_WAIT_MS = 500; // half of what a caller at the door waits
     private static final Duration CENSUS_HOLD = Duration.ofSeconds(30);
     private static final Duration STOP_WAIT = Duration.ofMillis(500);
     private static final int MOST_WAITING = 256;
@@ -86,6 +90,7 @@
     private Census census;
     private Census.Share share = new Census.Share(0, 1);
     private Swim swim;
+    private Optional<View> view = Optional.empty();
     private Datagrams datagrams;
     private TransferServer transfers;
     private TransferClient client;
@@ -159,6 +164,26 @@
         return members;
     }
 
+    /**
+     * What this instance sees of the fleet, as one line of JSON, or nothing where no view is kept or none
+     * came in time: from any thread but the I/O thread, as it waits {@value #VIEW_WAIT_MS} ms at most.
+     */
+    public Optional<String> view() {
+        if (config.talk().isEmpty() || !config.talk().get().view()) {
+            return Optional.empty();
+        }
+        CompletableFuture<Optional<String>> said = new CompletableFuture<>();
+        execute(() -> said.complete(view.map(kept -> kept.whole(swim, Time.now()))));
+        try {
+            return said.get(VIEW_WAIT_MS, TimeUnit.MILLISECONDS);
+        } catch (ExecutionException | TimeoutException late) {
+            LOG.log(Level.DEBUG, "no view in time", late);
+        } catch (InterruptedException cut) {
+            Thread.currentThread().interrupt();
+        }
+        return Optional.empty();
+    }
+
     /** Takes the keys of a new configuration; the rest of it changes with a restart. */
     public void use(PeersConfig next) {
         next.talk().ifPresent(talk -> keys = talk.keys());
@@ -236,11 +261,15 @@
     private void open(PeersConfig.Talk talk) throws IOException {
         bind(talk.listen());
         InetSocketAddress at = talk.advertised().orElse(transfers.address());
-        client = new TransferClient(loop, this::execute, random, () -> keys);
+        Optional<InetSocketAddress> local = Optional.of(talk.listen())
+                .filter(listen -> !listen.getAddress().isAnyLocalAddress())
+                .map(listen -> new InetSocketAddress(listen.getAddress(), 0));
+        client = new TransferClient(loop, local, this::execute, random, () -> keys);
         census = new Census(config.name(), CENSUS_HOLD);
         Instant now = Time.now();
         swim = new Swim(new Member(config.name(), at, life, 0, Member.State.ALIVE), talk.seeds(),
-                Timing.standard(), random, new Wiring(), now);
+                talk.timing(), random, new Wiring(), now);
+        view = talk.view() ? Optional.of(new View(config.name(), now)) : Optional.empty();
         execute(() -> {
             talk.seeds().stream().filter(seed -> !seed.equals(at)).forEach(this::pull);
             if (pulls.isEmpty()) {
@@ -288,6 +317,7 @@
     /** Told at once when somebody comes: from then on each may send a cold node its part only. */
     private void recount() {
         members = swim == null ? List.of() : List.copyOf(swim.list());
+        view.ifPresent(kept -> kept.retain(members));
         if (swim != null && config.talk().get().shareCold()) {
             Census.Share next = census.count(swim.list(), Time.now());
             if (!next.equals(share)) {
@@ -413,6 +443,9 @@
         figures.put("words_kept", (long) learner.kept());
         figures.put("shares_cold_among", (long) share.heads());
         figures.put("name_conflicts", swim.conflicts());
+        figures.put("names_refused", swim.namesRefused());
+        figures.put("health", (long) swim.health().score());
+        figures.put("stalls", swim.stalls());
         figures.put("members_turned_away", swim.turnedAway());
         return figures;
     }
@@ -495,7 +528,16 @@
         @Override
         public void changed(Member member) {
             recount();
-            LOG.log(Level.INFO, "member {0} at {1}: {2}", member.name(), member.address(), member.state());
+            LOG.log(Level.INFO, "{0}", view.map(kept -> kept.change(member, Time.now())).orElseGet(
+                    () -> "member " + member.name() + " at " + member.address() + ": " + member.state()));
+        }
+
+        @Override
+        public void refused(Member known, Member claim) {
+            String line = view.map(kept -> kept.refusal(known, claim, Time.now())).orElse("");
+            if (!line.isEmpty()) {
+                LOG.log(Level.WARNING, "{0}", line);
+            }
         }
     }
 
--- a/src/main/java/cypressglade/peer/PeersConfig.java
+++ b/src/main/java/cypressglade/peer/PeersConfig.java
@@ -1,5 +1,6 @@
 package cypressglade.peer;
 
+import cypressglade.member.Timing;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -23,9 +24,12 @@
      * @param advertised where others reach this instance, where that is not where it listens
      * @param refresh between two transfers
      * @param shareCold whether what all instances may send to a cold node is shared among who is there
+     * @param timing of the membership
+     * @param view whether the fleet's view is kept: logged at each change, and told at the operators' door
      */
     public record Talk(InetSocketAddress listen, Optional<InetSocketAddress> advertised,
-            List<InetSocketAddress> seeds, KeyRing keys, Duration refresh, boolean shareCold) { }
+            List<InetSocketAddress> seeds, KeyRing keys, Duration refresh, boolean shareCold, Timing timing,
+            boolean view) { }
 
     /** Snapshots: the directory, how often one is written, and how old one may be to be read. */
     public record Snapshots(Path directory, Duration every, Duration mostAge) { }
--- a/src/main/java/cypressglade/peer/TransferClient.java
+++ b/src/main/java/cypressglade/peer/TransferClient.java
@@ -12,6 +12,7 @@
 import java.time.Instant;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.Executor;
 import java.util.function.Supplier;
 
@@ -23,6 +24,7 @@
     static final Duration MOST = Duration.ofSeconds(2);
 
     private final Loop loop;
+    private final Optional<InetSocketAddress> local;
     private final Executor owner;
     private final SecureRandom random;
     private final Supplier<KeyRing> keys;
@@ -39,8 +41,15 @@
         void over(String fault);
     }
 
-    TransferClient(Loop loop, Executor owner, SecureRandom random, Supplier<KeyRing> keys) {
+    /**
+     * Asks from a local address, which others know this instance by, or from any where there is none.
+     *
+     * @param owner runs what the listeners hear of
+     */
+    TransferClient(Loop loop, Optional<InetSocketAddress> local, Executor owner, SecureRandom random,
+            Supplier<KeyRing> keys) {
         this.loop = loop;
+        this.local = local;
         this.owner = owner;
         this.random = random;
         this.keys = keys;
@@ -71,7 +80,7 @@
 
         void start(InetSocketAddress from) {
             loop.after(MOST, () -> end("no answer in time"));
-            dial = loop.dial(from, up -> {
+            dial = loop.dial(local, from, up -> {
                 if (over) {
                     up.close();
                     return;
--- a/src/test/java/cypressglade/cli/DoorwayTest.java
+++ b/src/test/java/cypressglade/cli/DoorwayTest.java
@@ -16,6 +16,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
 import cypressglade.standin.DoorCall;
 import org.junit.jupiter.api.Test;
@@ -49,6 +50,11 @@
                 evacuations.add(away);
             }
 
+            @Override
+            public Optional<String> fleet() {
+                return Optional.empty();
+            }
+
             @Override
             public void beside(int count) {
                 processes.add(count);
--- /dev/null
+++ b/src/test/java/cypressglade/fleet/FleetViewTest.java
@@ -0,0 +1,168 @@
+package cypressglade.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import cypressglade.lab.FaultScript;
+import cypressglade.lab.Faults;
+import cypressglade.lab.ProcessFleet;
+import cypressglade.member.Member.State;
+import cypressglade.member.Timing;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.TestInstance;
+import org.junit.jupiter.api.io.TempDir;
+
+/**
+ * Five processes of the program, with faults between them; each test begins with all of them in one view. Times
+ * are held against {@link Bounds}, with {@link #BUSY} for a machine that does other work beside.
+ */
+@TestInstance(TestInstance.Lifecycle.PER_CLASS)
+class FleetViewTest {
+    private static final Duration PERIOD = Duration.ofMillis(200);
+    private static final Bounds BOUNDS = new Bounds(Timing.every(PERIOD), 5);
+    private static final Duration BUSY = Duration.ofSeconds(5);
+    private static final Duration WAIT = Duration.ofSeconds(40);
+
+    @TempDir
+    static Path folder;
+    private ProcessFleet fleet;
+
+    @BeforeAll
+    void start() throws Exception {
+        fleet = new ProcessFleet(folder, 6, PERIOD, 11); // the sixth place is for who comes later
+        links("0s delay * * 1ms..20ms");
+        fleet.startAll(5);
+    }
+
+    @AfterAll
+    void stop() throws Exception {
+        fleet.close();
+    }
+
+    @BeforeEach
+    void oneView() {
+        assertThat(fleet.oneView(WAIT)).as(fleet.text()).isPositive();
+    }
+
+    private void links(String line) throws Exception {
+        FaultScript.Step step = FaultScript.parse("test", line, 6).steps().get(0);
+        fleet.hub().change(faults -> FaultScript.apply(step, faults));
+    }
+
+    /** The time now; what is logged from here on is after it. */
+    private static long now() {
+        return System.currentTimeMillis();
+    }
+
+    private void heals(long since, String... gone) {
+        long settled = fleet.oneView(WAIT);
+        assertThat(settled - since).as(fleet.text()).isBetween(0L, BOUNDS.heal().plus(BUSY).toMillis());
+        fleet.pass(PERIOD.multipliedBy(12));
+        assertThat(fleet.deaths(since, gone)).as("nobody flaps once healed").isEmpty();
+        assertThat(fleet.oneView(WAIT)).isPositive();
+    }
+
+    @Test
+    void aCrashIsHeldDeadByAllInTimeAndTheRestartIsAnotherLifeOfThatName() throws Exception {
+        String life = fleet.view(0).path("members").findValue("life").asText();
+        long killed = fleet.kill(1);
+        long held = fleet.held(fleet.running(), "m-1", State.DEAD, WAIT);
+        assertThat(held - killed).as(fleet.text()).isBetween(0L, BOUNDS.detect().plus(BUSY).toMillis());
+        assertThat(fleet.deaths(killed, "m-1")).isEmpty();
+        long started = now();
+        fleet.start(1);
+        assertThat(fleet.oneView(WAIT)).as(fleet.text()).isPositive();
+        assertThat(fleet.deaths(started, "m-1")).isEmpty();
+        assertThat(fleet.since(started)).filteredOn(event -> event.name().equals("m-1")
+                && event.state().equals("alive")).isNotEmpty().allSatisfy(event -> {
+                    assertThat(event.line().path("member").path("incarnation").asLong()).isPositive();
+                    assertThat(event.line().path("member").path("life").asText()).isNotEqualTo(life);
+                });
+    }
+
+    @Test
+    void aSplitOfTwoAndThreeSettlesOnEachSideAndHealsToOneView() throws Exception {
+        long cut = now();
+        links("0s cut 0,1 2,3,4");
+        for (String name : List.of("m-2", "m-3", "m-4")) {
+            assertThat(fleet.held(List.of(0, 1), name, State.DEAD, WAIT) - cut).as(fleet.text())
+                    .isBetween(0L, BOUNDS.split(2).plus(BUSY).toMillis());
+        }
+        for (String name : List.of("m-0", "m-1")) {
+            assertThat(fleet.held(List.of(2, 3, 4), name, State.DEAD, WAIT) - cut).as(fleet.text())
+                    .isBetween(0L, BOUNDS.split(3).plus(BUSY).toMillis());
+        }
+        fleet.pass(Duration.ofSeconds(10).minusMillis(now() - cut));
+        assertThat(fleet.deaths(cut)).as("each side is of one mind about itself")
+                .allMatch(event -> event.seenBy() < 2 == List.of("m-2", "m-3", "m-4").contains(event.name()));
+        long healed = now();
+        fleet.hub().change(Faults::mend);
+        heals(healed);
+    }
+
+    /** One hears the other, which does not hear it: the others ask for them, and nobody is taken for dead. */
+    @Test
+    void aLinkThatIsCutOneWayCostsNobody() throws Exception {
+        long cut = now();
+        links("0s cut-one-way 1 2");
+        fleet.pass(BOUNDS.detect());
+        assertThat(fleet.deaths(cut)).as(fleet.text()).isEmpty();
+        fleet.hub().change(Faults::mend);
+    }
+
+    /** A member that hears nobody, but is heard, takes nobody with it. */
+    @Test
+    void aDeafMemberIsLostAloneAndComesBack() throws Exception {
+        long cut = now();
+        links("0s cut-one-way 0,1,2,4 3");
+        assertThat(fleet.held(List.of(0, 1, 2, 4), "m-3", State.DEAD, WAIT)).as(fleet.text()).isPositive();
+        assertThat(fleet.deaths(cut)).filteredOn(event -> event.seenBy() != 3)
+                .allMatch(event -> event.name().equals("m-3"));
+        long healed = now();
+        fleet.hub().change(Faults::mend);
+        heals(healed);
+    }
+
+    @Test
+    void aMemberThatStoodStillIsTakenBackAndTakesNobodyForDead() throws Exception {
+        long stalled = now();
+        fleet.stall(4);
+        assertThat(fleet.held(fleet.running(4), "m-4", State.DEAD, WAIT)).as(fleet.text()).isPositive();
+        long resumed = now();
+        fleet.resume(4);
+        heals(resumed);
+        assertThat(fleet.deaths(stalled)).allMatch(event -> event.name().equals("m-4") && event.seenBy() != 4);
+        assertThat(fleet.view(4).path("stalls").asLong()).isPositive();
+    }
+
+    @Test
+    void aTenthLostOnEveryLinkForAMinuteKillsNobody() throws Exception {
+        long from = now();
+        links("0s loss * * 0.1");
+        fleet.pass(Duration.ofSeconds(60));
+        assertThat(fleet.deaths(from)).as(fleet.text()).isEmpty();
+        links("0s loss * * 0");
+    }
+
+    /** Another process under a name in use is refused with a line that says so, and the holder keeps its name. */
+    @Test
+    void anotherProcessUnderANameInUseIsRefused() throws Exception {
+        long started = now();
+        String life = fleet.view(2).path("life").asText();
+        fleet.start(5, "m-2");
+        assertThat(fleet.logged(started, WAIT, event -> event.seenBy() != 5
+                && event.line().path("fleet").asText().equals("name_refused")
+                && event.line().path("known").path("life").asText().equals(life))).as(fleet.text()).isTrue();
+        fleet.kill(5);
+        fleet.pass(PERIOD.multipliedBy(4));
+        assertThat(fleet.since(started)).filteredOn(event -> event.name().equals("m-2") && event.seenBy() != 5)
+                .extracting(event -> event.line().path("member").path("life").asText())
+                .allMatch(life::equals);
+        assertThat(fleet.deaths(started)).isEmpty();
+    }
+}
--- a/src/test/java/cypressglade/operate/DoorTest.java
+++ b/src/test/java/cypressglade/operate/DoorTest.java
@@ -10,6 +10,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.junit.jupiter.api.Test;
 
 /** The operators' door: bans by exact id that hold over restarts and lists, and calls that are read strictly. */
@@ -27,6 +28,7 @@
     private boolean started;
     private int evacuations;
     private int activations;
+    private Optional<String> fleet = Optional.empty();
     private final Door door = new Door(new Door.Acts() {
         @Override
         public boolean takesClients() {
@@ -52,6 +54,11 @@
         public void activate() {
             activations++;
         }
+
+        @Override
+        public Optional<String> fleet() {
+            return fleet;
+        }
     });
 
     private static Entry entry(String id, State state, long startedS) {
@@ -72,6 +79,14 @@
         assertThat(seen).containsEntry("s-1", State.READY).containsEntry("s-2", State.READY);
     }
 
+    @Test
+    void theFleetIsToldWhereAViewIsKept() {
+        assertThat(door.answer("fleet")).startsWith("400 no fleet view").contains("\"view\": true");
+        fleet = Optional.of("{\"fleet\":\"view\"}");
+        assertThat(door.answer("fleet")).isEqualTo("200 {\"fleet\":\"view\"}");
+        assertThat(door.answer("fleet now")).startsWith("400 unknown call");
+    }
+
     @Test
     void twoExcludesAreUndoneByOneInclude() {
         tell(true, entry("s-1", State.READY, 5), entry("s-2", State.READY, 5));
--- a/src/test/java/cypressglade/peer/PeersTest.java
+++ b/src/test/java/cypressglade/peer/PeersTest.java
@@ -14,6 +14,7 @@
 import cypressglade.member.Message;
 import cypressglade.member.Message.Kind;
 import cypressglade.member.News;
+import cypressglade.member.Timing;
 import cypressglade.standin.HttpPeer;
 import cypressglade.standin.Site;
 import cypressglade.standin.StandIn;
@@ -69,7 +70,7 @@
 
     private PeersConfig talking(String name, Duration wait, InetSocketAddress... seeds) {
         return new PeersConfig(name, Optional.of(new PeersConfig.Talk(ANY, Optional.empty(), List.of(seeds),
-                keys, Duration.ofSeconds(1), true)), Optional.empty(), 100, wait);
+                keys, Duration.ofSeconds(1), true, Timing.standard(), false)), Optional.empty(), 100, wait);
     }
 
     private PeersConfig alone(String name) {
