--- a/src/main/java/cypressglade/fleet/Bounds.java
+++ b/src/main/java/cypressglade/fleet/Bounds.java
@@ -18,6 +18,7 @@
     /** Datagrams that a helper costs: the asking, its ping, the ack, and its own answer. */
     private static final int OF_A_HELPER = 4;
     private static final int PINGS = 3;
+    private static final int NEWS_A_PERIOD = 16;
 
     /**
      * From a crash to every live member holding the dead one for dead: a period until somebody pings it and
@@ -40,11 +41,14 @@
     /**
      * From a heal to one view: a knock at one that was lost, its answer and the exchange of whole lists, the
      * doubt's way to whom it is about, and the way of that one's own word to all. Each way takes twice the
-     * rounds where one side is large: half of the messages go to who knows already.
+     * rounds where one side is large: half of the messages go to who knows already. Each member has to hear
+     * the new incarnation of every other: so many pieces of news, of which two messages a period bring 8
+     * each.
      */
     public Duration heal() {
+        long news = (members + NEWS_A_PERIOD - 1) / NEWS_A_PERIOD;
         return timing.reconnect().plus(timing.answer().multipliedBy(2))
-                .plus(timing.period().multipliedBy(1L + 4L * rounds()));
+                .plus(timing.period().multipliedBy(1L + 4L * rounds() + news));
     }
 
     /**
--- a/src/main/java/cypressglade/lab/MemberNet.java
+++ b/src/main/java/cypressglade/lab/MemberNet.java
@@ -10,6 +10,7 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -28,6 +29,11 @@
  * comes to it waits until it goes on, as in a socket's buffer.
  */
 public final class MemberNet {
+    /** Whole lists that one member asks for at a time, as in the program. */
+    private static final int MOST_PULLS = 3;
+    /** A connection, a nonce, a question and an answer: four ways of some 10 ms. */
+    private static final Duration EXCHANGE = Duration.ofMillis(40);
+
     public Instant now = Instant.EPOCH;
     public double loss;
     /** Whether the first can reach the second, by name. */
@@ -39,6 +45,7 @@
     /** Delay of a datagram, drawn evenly between these, in milliseconds. */
     public int leastDelayMs = 1;
     public int mostDelayMs = 20;
+    private final Map<String, Integer> asking = new HashMap<>();
     private final Map<String, List<Runnable>> stalled = new LinkedHashMap<>();
     public final Map<String, Swim> running = new LinkedHashMap<>();
     /** Each change that any instance took in. */
@@ -89,7 +96,12 @@
             @Override
             public void exchange(InetSocketAddress with) {
                 String there = names.get(with);
-                after(Duration.ofMillis(5), () -> {
+                if (asking.merge(name, 1, Integer::sum) > MOST_PULLS) {
+                    asking.merge(name, -1, Integer::sum);
+                    return; // as the program does: a list that comes from another soon has the same
+                }
+                after(EXCHANGE, () -> {
+                    asking.merge(name, -1, Integer::sum);
                     Swim mine = running.get(name);
                     Swim theirs = running.get(there);
                     if (mine != null && theirs != null && !cut.test(name, there) && !cut.test(there, name)
--- a/src/test/java/cypressglade/member/SwimTest.java
+++ b/src/test/java/cypressglade/member/SwimTest.java
@@ -121,6 +121,75 @@
         assertThat(seenAs("x", State.DEAD)).isEqualTo(1);
     }
 
+    /** Guards against a pause of this process being taken for the silence of those whom it suspected before. */
+    @Test
+    void suspicionsGetTheTimeBackInWhichThisProcessStoodStill() {
+        start(3);
+        Swim swim = net.running.get("i-0");
+        swim.merge(List.of(net.running.get("i-1").self().as(State.SUSPECT)), net.now);
+        net.changes.clear();
+        net.stall(0);
+        net.pass(MINUTE);
+        assertThat(net.changes).extracting(change -> change.seenBy()).doesNotContain("i-0");
+        net.changes.clear();
+        net.resume(0);
+        net.pass(MINUTE);
+        assertThat(net.changes).filteredOn(change -> change.seenBy().equals("i-0"))
+                .extracting(change -> change.member().state()).doesNotContain(State.DEAD);
+        assertThat(swim.stalls()).isPositive();
+        assertAllSee(2);
+    }
+
+    /** A death in a list, or told about one that was heard from just now, is a suspicion first. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void deathOfOneWhoIsPresentIsDoubted(boolean list) {
+        start(3);
+        Swim swim = net.running.get("i-0");
+        Member dead = net.running.get("i-1").self().as(State.DEAD);
+        if (list) {
+            swim.merge(List.of(dead), net.now);
+        } else {
+            swim.receive(new Message(Message.Kind.ACK, 0, "", null, List.of(
+                    new News(net.running.get("i-2").self(), "i-2"), new News(dead, "i-2"))), MemberNet.address(2),
+                    net.now);
+        }
+        assertThat(swim.list()).filteredOn(member -> member.name().equals("i-1")).extracting(Member::state)
+                .containsExactly(State.SUSPECT);
+        net.changes.clear();
+        net.pass(MINUTE);
+        assertThat(net.changes).extracting(change -> change.member().state()).doesNotContain(State.DEAD);
+        assertAllSee(2);
+    }
+
+    /** A name in use is kept by its holder against another process, at each member and at the holder itself. */
+    @ParameterizedTest
+    @ValueSource(strings = {"i-0", "i-1"})
+    void anotherProcessUnderANameInUseIsRefused(String by) {
+        start(3);
+        Swim swim = net.running.get(by);
+        Member holder = net.running.get("i-1").self();
+        Member claim = new Member("i-1", MemberNet.address(77), 99, 50, State.ALIVE);
+        swim.receive(new Message(Message.Kind.PING, 1, "", null, List.of(new News(claim, "i-1"))),
+                claim.address(), net.now);
+        assertThat(swim.namesRefused()).isEqualTo(1);
+        assertThat(swim.list()).filteredOn(member -> member.name().equals("i-1")).containsExactly(holder);
+    }
+
+    @Test
+    void localHealthFallsWithOwnFailuresAndRecovers() {
+        start(4);
+        net.cut = (from, to) -> from.equals("i-0") || to.equals("i-0");
+        net.pass(Duration.ofSeconds(10));
+        Swim swim = net.running.get("i-0");
+        assertThat(swim.health().score()).isEqualTo(LocalHealth.MOST);
+        assertThat(net.running.get("i-1").health().score()).isLessThan(LocalHealth.MOST);
+        net.cut = (from, to) -> false;
+        net.pass(MINUTE);
+        assertThat(swim.health().score()).isZero();
+        assertAllSee(3);
+    }
+
     @Test
     void roomForMembersIsBounded() {
         Swim swim = net.start(0);
