Test the fleet's file and the lab's wrong uses; name a script that is not there

deploy/fleet.json is read as shipped and each unusable value named by its path; deploy/ peers.json stays off. `lab` without a script started none but failed with 1 and "Is a directory": it says what is missing, with 2, as other commands do.

--- a/src/main/java/cypressglade/cli/LabCommand.java
+++ b/src/main/java/cypressglade/cli/LabCommand.java
@@ -12,6 +12,7 @@
 import java.io.IOException;
 import java.io.PrintStream;
 import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
@@ -26,7 +27,7 @@
 
     @Parameter(names = "--script", description = "the file with the steps; see docs/operating-fleet.md",
             required = true)
-    private String script = "";
+    private String script;
 
     @Parameter(names = "--members", description = "how many processes, 2 to 16")
     private int members = 5;
@@ -53,6 +54,8 @@
             steps = FaultScript.parse(script, Files.readString(Path.of(script)), members).steps();
         } catch (FaultScript.Unusable unusable) {
             throw new ConfigException(unusable.getMessage());
+        } catch (NoSuchFileException missing) {
+            throw new ConfigException("--script " + script + ": no such file; docs/operating-fleet.md has one");
         }
         Bounds bounds = new Bounds(Timing.every(period), members);
         out.println("bounds: crash to dead everywhere " + bounds.detect().toMillis()
--- a/src/test/java/cypressglade/cli/MainTest.java
+++ b/src/test/java/cypressglade/cli/MainTest.java
@@ -31,6 +31,11 @@
             check-config --config no/such.json | no/such.json
             serve --config no/such.json | no/such.json
             check-config --config pom.xml | pom.xml
+            lab | --script
+            lab --script no.txt | no.txt: no such file
+            lab --script pom.xml | pom.xml:1:
+            lab --script pom.xml --members 17 | --members 17 is not from 2 to 16
+            lab --script pom.xml --period-ms 5 | --period-ms 5 is not from 100
             """)
     void wrongUseExitsWithTwoAndSaysWhy(String line, String why) {
         assertThat(run(line)).isEqualTo(2);
--- a/src/test/java/cypressglade/config/ConfigTest.java
+++ b/src/test/java/cypressglade/config/ConfigTest.java
@@ -5,14 +5,18 @@
 
 import cypressglade.core.NodeList;
 import cypressglade.core.Scheduler.State;
+import cypressglade.member.Timing;
+import cypressglade.peer.PeersConfig;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.attribute.PosixFilePermissions;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -94,6 +98,30 @@
         assertThat(2 * 65536L * requests + budget.receivingBytes()).isLessThan(memory * 1024L * 1024 / 4);
     }
 
+    /** The operators' own file has the view on, the one that {@code run} reads keeps all of it off. */
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', textBlock = """
+            "period_ms": 1000 | "period_ms": 99 | period_ms is not a whole number from 100 to 60000
+            "view": true | "view": "yes" | view is neither true nor false
+            "seeds": ["127.0.0.1:10821"] | "seeds": ["here"] | seeds is not ADDRESS:PORT
+            """)
+    void theFleetsFileIsUsableAndNamesWhatIsNot(String from, String to, String message, @TempDir Path folder)
+            throws Exception {
+        assertThat(PeersConfigParser.read(Path.of("deploy/peers.json"))).isEmpty();
+        String shipped = Files.readString(Path.of("deploy/fleet.json"));
+        Path key = Files.createFile(folder.resolve("peers.key"), PosixFilePermissions.asFileAttribute(
+                PosixFilePermissions.fromString("rw-------")));
+        Files.writeString(key, "1 " + "5a".repeat(32) + "\n");
+        PeersConfig.Talk talk = PeersConfigParser.read(Files.writeString(folder.resolve("fleet.json"), shipped))
+                .orElseThrow().talk().orElseThrow();
+        assertThat(talk.view()).isTrue();
+        assertThat(talk.timing()).isEqualTo(Timing.standard());
+        assertThat(shipped).contains(from);
+        Path broken = Files.writeString(folder.resolve("broken.json"), shipped.replace(from, to));
+        assertThatThrownBy(() -> PeersConfigParser.read(broken)).isInstanceOf(ConfigException.class)
+                .hasMessageContaining("broken.json: " + message);
+    }
+
     @Test
     void goneNodeNeedsNoAddress() throws Exception {
         byte[] text = "{\"version\":7,\"full\":false,\"servers\":[{\"id\":\"s-2\",\"state\":\"left\"}]}".getBytes(
