--- a/src/main/java/cypressglade/cli/LabCommand.java
+++ b/src/main/java/cypressglade/cli/LabCommand.java
@@ -55,7 +55,8 @@
         } catch (FaultScript.Unusable unusable) {
             throw new ConfigException(unusable.getMessage());
         } catch (NoSuchFileException missing) {
-            throw new ConfigException("--script " + script + ": no such file; docs/operating-fleet.md has one");
+            throw new ConfigException("--script " + script
+                    + ": no such file; docs/operating-fleet.md has one");
         }
         Bounds bounds = new Bounds(Timing.every(period), members);
         out.println("bounds: crash to dead everywhere " + bounds.detect().toMillis()
