--- a/src/main/java/cypressglade/cli/Serve.java
+++ b/src/main/java/cypressglade/cli/Serve.java
@@ -20,6 +20,8 @@
 import cypressglade.net.NodePool;
 import cypressglade.operate.HandDrains;
 import cypressglade.peer.Peers;
+import cypressglade.peer.PeersConfig;
+import cypressglade.share.Verdicts.Verdict;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
@@ -44,6 +46,10 @@
     /** The front asks for the health ten times a second and sends no new connection 0.2 s after a no. */
     private static final Duration FRONT_TURNED = Duration.ofMillis(300);
 
+    private static final String MEMBER = "member ";
+    private static final String EVACUATE = "evacuate";
+    private static final String ACTIVATE = "activate";
+
     private volatile Config config;
     private volatile OperatorFiles files;
     private final Counters counters = new Counters();
@@ -76,8 +82,9 @@
         nbdNodes = files.nbd().map(front -> new NbdNodeLink(connections, front));
         engine.start(node -> nbdNodes.isPresent() && nbdNodes.get().speaksTo(directory.ready(node))
                 ? nbdNodes.get() : nodes);
-        peers = files.peers().map(file -> new Peers(file, loop, engine, counters)); // before who asks it
-        HandDrains drains = new HandDrains(engine::told);
+        HandDrains drains = new HandDrains(engine::told, this::decided);
+        peers = files.peers().map(file -> new Peers(file, loop, engine, counters, // before who asks it
+                verdict -> ruled(verdict, drains)));
         control = files.control().isEmpty() ? Optional.empty() : Optional.of(new Control(
                 files.control().get(), engine, counters, drains, () -> this.config.settings().classNames(),
                 this::members, () -> InForce.of(this.config, this.files)));
@@ -92,6 +99,7 @@
                     @Override
                     public void evacuate(boolean away) {
                         Serve.this.evacuate(away);
+                        decided(MEMBER + memberName(), away ? EVACUATE : ACTIVATE);
                     }
 
                     @Override
@@ -104,7 +112,8 @@
                         engine.beside(processes);
                     }
                 }));
-        Consumer<NodeList> lists = control.isPresent() || door.isPresent() ? drains::told : engine::told;
+        boolean byHand = control.isPresent() || door.isPresent() || peers.filter(Peers::shares).isPresent();
+        Consumer<NodeList> lists = byHand ? drains::told : engine::told;
         lists.accept(config.known());
         discovery = new DiscoveryWatch(loop, config.discovery(), config.nodeLists(), directory, lists,
                 counters);
@@ -115,6 +124,26 @@
                 files.nbd().get(), config.settings(), engine, directory, counters, pool, nbdNodes.get()));
     }
 
+    /** An operator decided something here: the fleet hears of it, where one shares verdicts. */
+    private void decided(String subject, String word) {
+        peers.ifPresent(fleet -> fleet.decided(subject, word));
+    }
+
+    /** What was decided at another member, or here in a former life. */
+    private void ruled(Verdict verdict, HandDrains drains) {
+        if (drains.rule(verdict.subject(), verdict.word(), verdict.by(), verdict.at())) {
+            return;
+        }
+        if (verdict.subject().equals(MEMBER + memberName())
+                && List.of(EVACUATE, ACTIVATE).contains(verdict.word())) {
+            evacuate(verdict.word().equals(EVACUATE));
+        }
+    }
+
+    private String memberName() {
+        return files.peers().map(PeersConfig::name).orElse("");
+    }
+
     private List<Member> members() {
         return peers.map(Peers::members).orElse(List.of());
     }
--- a/src/main/java/cypressglade/config/PeersConfigParser.java
+++ b/src/main/java/cypressglade/config/PeersConfigParser.java
@@ -5,6 +5,7 @@
 import cypressglade.peer.PeersConfig;
 import cypressglade.peer.PeersConfig.Snapshots;
 import cypressglade.peer.PeersConfig.Talk;
+import cypressglade.share.Terms;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
@@ -13,6 +14,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
 
 /**
  * Reads {@code deploy/peers.json}: nothing where the file is not there or says that it is off. Paths in it
@@ -22,6 +25,11 @@
     private static final int MOST_SEEDS = 16;
     private static final int MOST_NODES = 4096;
     private static final int MOST_NAME = 64;
+    private static final String NAME = "[A-Za-z0-9._-]{1," + MOST_NAME + "}";
+    private static final float FLOOR = 0.25f;
+    private static final long LAG = 2;
+    private static final long MOST_LAG = 10;
+    private static final long WINDOW_MS = 1000;
     private static final long MOST_WAIT_MS = 2000;
     /** Below, a scheduler that waits for its share of a core would be taken for silent. */
     private static final long LEAST_PERIOD_MS = 100;
@@ -46,7 +54,7 @@
 
     private PeersConfig config() throws ConfigException {
         String name = values.text("name");
-        if (!name.matches("[A-Za-z0-9._-]{1," + MOST_NAME + "}")) {
+        if (!name.matches(NAME)) {
             throw values.bad("name", "is not 1 to " + MOST_NAME
                     + " letters, digits, dots, dashes or underscores");
         }
@@ -84,12 +92,33 @@
                     values.flag("share_cold", "true"),
                     Timing.every(Duration.ofMillis(
                             whole("period_ms", LEAST_PERIOD_MS, MOST_PERIOD_MS, 1000))),
-                    values.flag("view", "false"));
+                    values.flag("view", "false"), terms());
         } catch (IOException unusable) {
             throw values.bad("key_file", "cannot be used: " + unusable.getMessage());
         }
     }
 
+    private Optional<Terms> terms() throws ConfigException {
+        if (values.text("roster", "").isEmpty()) {
+            return Optional.empty();
+        }
+        Set<String> roster = new TreeSet<>();
+        for (String name : values.text("roster").split(",")) {
+            if (!roster.add(name.strip()) || !name.strip().matches(NAME)) {
+                throw values.bad("roster", "has a name twice, or one that is no name");
+            }
+        }
+        if (!roster.contains(values.text("name")) || roster.size() > Terms.MOST_NAMES) {
+            throw values.bad("roster", "has to name this instance (name), and at most " + Terms.MOST_NAMES);
+        }
+        float floor = values.number("floor", FLOOR);
+        if (!(floor > 0 && floor <= 1)) {
+            throw values.bad("floor", "is not over 0 and at most 1");
+        }
+        return Optional.of(new Terms(roster, floor, (int) whole("lag", 1, MOST_LAG, LAG),
+                Duration.ofMillis(whole("window_ms", LEAST_PERIOD_MS, MOST_PERIOD_MS, WINDOW_MS))));
+    }
+
     private Snapshots snapshots() throws ConfigException {
         Path kept = directory.resolve(values.text("snapshot_dir"));
         if (!Files.isDirectory(kept) || !Files.isWritable(kept)) {
--- a/src/main/java/cypressglade/fleet/View.java
+++ b/src/main/java/cypressglade/fleet/View.java
@@ -79,11 +79,11 @@
     }
 
     /**
-     * The whole view, as one line of JSON: this member with its incarnation and health, each other member
+     * The whole view, as JSON: this member with its incarnation and health, each other member
      * with its state and for how long it has held it, counts by state, changes and flaps since the start, and
      * for how long no change has come ({@code settled_ms}).
      */
-    public String whole(Swim swim, Instant now) {
+    public ObjectNode whole(Swim swim, Instant now) {
         ObjectNode line = line("view", now).put("incarnation", swim.self().incarnation())
                 .put("life", Long.toHexString(swim.self().life())).put("health", swim.health().score())
                 .put("stalls", swim.stalls()).put("names_refused", swim.namesRefused())
@@ -92,7 +92,7 @@
         line.set("counts", counts());
         ArrayNode others = line.putArray("members");
         seen.values().forEach(one -> others.add(entry(one, now)));
-        return line.toString();
+        return line;
     }
 
     /** Forgets whom the membership no longer knows. */
--- a/src/main/java/cypressglade/lab/ProcessFleet.java
+++ b/src/main/java/cypressglade/lab/ProcessFleet.java
@@ -2,7 +2,10 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import cypressglade.member.Member.State;
+import cypressglade.share.Terms;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
@@ -26,6 +29,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
+import java.util.function.UnaryOperator;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 
@@ -48,6 +52,8 @@
 
     private final Path folder;
     private final Duration period;
+    private final UnaryOperator<String> configuration;
+    private final Optional<Terms> terms;
     private final FaultHub hub;
     private final List<Slot> slots = new ArrayList<>();
     private final List<Event> events = new ArrayList<>();
@@ -71,6 +77,7 @@
         private Process process;
         private boolean stalled;
         private InetSocketAddress door;
+        private InetSocketAddress clients;
         private boolean up;
         private final Map<String, String> seen = new HashMap<>();
         private final ArrayList<String> tail = new ArrayList<>();
@@ -89,8 +96,19 @@
      * @param seed of the faults
      */
     public ProcessFleet(Path folder, int members, Duration period, long seed) throws IOException {
+        this(folder, members, period, seed, UnaryOperator.identity(), Optional.empty());
+    }
+
+    /**
+     * The same, with a configuration changed from the example's, and with members that share limits and
+     * verdicts where there are terms.
+     */
+    public ProcessFleet(Path folder, int members, Duration period, long seed,
+            UnaryOperator<String> configuration, Optional<Terms> terms) throws IOException {
         this.folder = folder;
         this.period = period;
+        this.configuration = configuration;
+        this.terms = terms;
         hub = new FaultHub(members, seed);
         byte[] key = new byte[KEY_BYTES];
         new SecureRandom().nextBytes(key);
@@ -143,15 +161,23 @@
         int number = slot.number;
         Path own = Files.createDirectories(folder.resolve("m-" + number));
         Path config = Files.writeString(own.resolve("config.json"),
-                Files.readString(Path.of("deploy/config.example.json"))
+                configuration.apply(Files.readString(Path.of("deploy/config.example.json")))
                         .replace("\"name\":\"n1\"", "\"name\":\"" + slot.name + "\"")
                         .replace("127.0.0.1:8500", "127.0.0.1:" + closedPort()));
         String seeds = text(hub.address(number == 0 ? Math.min(1, slots.size() - 1) : 0));
-        Path fleet = Files.writeString(own.resolve("fleet.json"), JSON.createObjectNode().put("enabled", true)
-                .put("name", slot.name).put("listen", FaultHub.host(number) + ":0")
+        ObjectNode file = JSON.createObjectNode().put("enabled", true).put("name", slot.name)
+                .put("listen", FaultHub.host(number) + ":0")
                 .put("advertise", text(hub.address(number))).put("seeds", seeds)
                 .put("key_file", "../peers.key")
-                .put("period_ms", period.toMillis()).put("view", true).put("start_wait_ms", 0).toString());
+                .put("period_ms", period.toMillis()).put("view", true).put("start_wait_ms", 0);
+        if (terms.isPresent()) {
+            ArrayNode roster = file.putArray("roster");
+            terms.get().roster().forEach(roster::add);
+            file.put("floor", terms.get().floor()).put("lag", terms.get().lag())
+                    .put("window_ms", terms.get().window().toMillis()).put("snapshot_dir", Files
+                            .createDirectories(own.resolve("kept")).getFileName().toString());
+        }
+        Path fleet = Files.writeString(own.resolve("fleet.json"), file.toString());
         ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java")
                 .toString(), HEAP, "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-XX:-UsePerfData", "-cp",
                 System.getProperty("java.class.path"), "cypressglade.cli.Main", "serve", "--config",
@@ -217,10 +243,10 @@
             if (slot.tail.size() > MOST_TAIL) {
                 slot.tail.remove(0);
             }
-            if (line.startsWith("operators' door on ")) { // the last line of a start
-                String address = line.substring(line.indexOf('/') + 1);
-                slot.door = new InetSocketAddress(address.substring(0, address.lastIndexOf(':')),
-                        Integer.parseInt(address.substring(address.lastIndexOf(':') + 1)));
+            if (line.startsWith("listening on ")) {
+                slot.clients = address(line);
+            } else if (line.startsWith("operators' door on ")) { // the last line of a start
+                slot.door = address(line);
                 slot.up = true;
             }
             return;
@@ -234,6 +260,19 @@
         }
     }
 
+    private static InetSocketAddress address(String line) {
+        String address = line.substring(line.indexOf('/') + 1);
+        return new InetSocketAddress(address.substring(0, address.lastIndexOf(':')),
+                Integer.parseInt(address.substring(address.lastIndexOf(':') + 1)));
+    }
+
+    /** Where a member takes clients, in its present life. */
+    public InetSocketAddress clients(int member) {
+        synchronized (events) {
+            return slots.get(member).clients;
+        }
+    }
+
     /** Ends a member at once, as a crash does; the time, in milliseconds of the epoch. */
     public long kill(int member) {
         long at = System.currentTimeMillis();
--- a/src/main/java/cypressglade/operate/HandDrains.java
+++ b/src/main/java/cypressglade/operate/HandDrains.java
@@ -26,8 +26,14 @@
 public final class HandDrains {
     private static final int MOST_COMMANDS = 256;
     private static final int MOST_NAMED = 5;
+    private static final String NODE = "node ";
+    private static final String EXCLUDE = "exclude";
+    private static final String INCLUDE = "include";
+    private static final String DRAIN = "drain ";
+    private static final String UNDRAIN = "undrain";
 
     private final Consumer<NodeList> out;
+    private final Decided decided;
     private final Map<String, Entry> told = new LinkedHashMap<>();
     private final Map<String, HandDrain> drains = new LinkedHashMap<>();
     /** Nodes out by the operators' door: held over restarts and lists that lack them, until taken back. */
@@ -55,9 +61,21 @@
      */
     public record Order(String command, String node, String who, String why, boolean force) { }
 
+    /** Hears what was decided here, so that others can be told of it; must not block. */
+    public interface Decided {
+        /** A subject, as {@code node s-1}, and what was decided on it, as {@code exclude}. */
+        void decided(String subject, String word);
+    }
+
     /** Drains over nothing yet; what holds goes to {@code out}. */
     public HandDrains(Consumer<NodeList> out) {
+        this(out, (subject, word) -> { });
+    }
+
+    /** The same, for one whose decisions others share. */
+    public HandDrains(Consumer<NodeList> out, Decided decided) {
         this.out = out;
+        this.decided = decided;
     }
 
     /** Takes drains of a former life, before any list; those of runs that are over end as lists tell it. */
@@ -115,6 +133,7 @@
             drains.put(entry.id(), new HandDrain(entry.id(), entry.started(), order.who(), now, order.why(),
                     false));
             show(entry);
+            decided.decided(DRAIN + entry.id(), DRAIN + entry.started().toEpochMilli());
             return named;
         });
     }
@@ -130,9 +149,8 @@
             if (drains.remove(named.node()) == null) {
                 return new Result(Kind.ALREADY, named.node(), List.of());
             }
-            if (told.containsKey(named.node())) {
-                show(told.get(named.node()));
-            }
+            showIfTold(named.node());
+            decided.decided(DRAIN + named.node(), UNDRAIN);
             return named;
         });
     }
@@ -152,6 +170,40 @@
         return result;
     }
 
+    private void showIfTold(String node) {
+        if (told.containsKey(node)) {
+            show(told.get(node));
+        }
+    }
+
+    /**
+     * Takes what was decided at another member, in the words of {@link Decided}: it holds here from now on,
+     * whether the node is listed here yet or not. What it cannot read changes nothing.
+     *
+     * @return whether it is about nodes
+     */
+    public synchronized boolean rule(String subject, String word, String by, Instant when) {
+        boolean node = subject.startsWith(NODE);
+        String id = subject.substring(subject.indexOf(' ') + 1);
+        if (node && word.equals(EXCLUDE)) {
+            bans.add(id);
+        } else if (node && word.equals(INCLUDE)) {
+            bans.remove(id);
+        } else if (subject.startsWith(DRAIN) && word.equals(UNDRAIN)) {
+            drains.remove(id);
+        } else if (subject.startsWith(DRAIN) && word.matches(DRAIN + "[0-9]{1,15}")) {
+            Instant run = Instant.ofEpochMilli(Long.parseLong(word.substring(DRAIN.length())));
+            if (told.containsKey(id) && told.get(id).started().isAfter(run)) {
+                return true; // that run of it is over
+            }
+            drains.put(id, new HandDrain(id, run, by, when, "", false));
+        } else {
+            return false;
+        }
+        showIfTold(id);
+        return true;
+    }
+
     private void show(Entry entry) {
         out.accept(new NodeList(version, false, List.of(held(entry))));
     }
@@ -195,6 +247,7 @@
         }
         bans.add(node);
         show(entry);
+        decided.decided(NODE + node, EXCLUDE);
         return new Result(Kind.DONE, node, List.of());
     }
 
@@ -203,9 +256,8 @@
         if (!bans.remove(node)) {
             return told.containsKey(node) ? new Result(Kind.ALREADY, node, List.of()) : unknown(node);
         }
-        if (told.containsKey(node)) {
-            show(told.get(node));
-        }
+        showIfTold(node);
+        decided.decided(NODE + node, INCLUDE);
         return new Result(Kind.DONE, node, List.of());
     }
 
--- a/src/main/java/cypressglade/peer/Codec.java
+++ b/src/main/java/cypressglade/peer/Codec.java
@@ -10,6 +10,10 @@
 import cypressglade.member.Member;
 import cypressglade.member.Message;
 import cypressglade.member.News;
+import cypressglade.share.Notice;
+import cypressglade.share.Notice.Piece;
+import cypressglade.share.Sharing;
+import cypressglade.share.Verdicts.Verdict;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -17,6 +21,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -36,6 +41,11 @@
     private static final int MOST_DEPTH = 8;
     private static final long MOST_AGE_MS = Duration.ofDays(10).toMillis();
     private static final int MOST_PORT = 65_535;
+    private static final int MOST_VERDICTS = 8192;
+    private static final int MOST_WINDOWS = 64;
+    private static final int MOST_PIECES = 64;
+    private static final double MOST_UNITS = 1e12;
+    private static final long MOST_AT_MS = 253_402_300_799_000L; // the end of the year 9999
     private static final CBORFactory CBOR = CBORFactory.builder().streamReadConstraints(
             StreamReadConstraints.builder().maxNestingDepth(MOST_DEPTH).maxStringLength(MOST_TEXT)
                     .maxNameLength(MOST_TEXT).build()).build();
@@ -79,6 +89,11 @@
                 }
                 out.writeEndArray();
             }
+            if (envelope.notice().isPresent()) {
+                out.writeObjectFieldStart("s");
+                notice(out, envelope.notice().get());
+                out.writeEndObject();
+            }
         });
     }
 
@@ -89,6 +104,7 @@
             String target = "";
             InetSocketAddress targetAt;
             List<News> news = List.of();
+            Optional<Notice> notice = Optional.empty();
         };
         map(body, (name, in) -> {
             switch (name) {
@@ -100,6 +116,7 @@
                 case "g" -> read.target = text(in);
                 case "a" -> read.targetAt = address(in);
                 case "u" -> read.news = list(in, MOST_MEMBERS, Codec::news);
+                case "s" -> read.notice = Optional.of(notice(in));
                 default -> {
                     return false;
                 }
@@ -107,13 +124,14 @@
             return true;
         });
         if (read.kind < 0) {
-            return new Envelope(read.from, read.to, read.number, Optional.empty());
+            return new Envelope(read.from, read.to, read.number, Optional.empty(), read.notice);
         }
         if (read.kind >= Message.Kind.values().length || read.news.isEmpty()) {
             throw new IOException("a message of no known kind, or of nobody");
         }
         return new Envelope(read.from, read.to, read.number, Optional.of(new Message(
-                Message.Kind.values()[read.kind], read.message, read.target, read.targetAt, read.news)));
+                Message.Kind.values()[read.kind], read.message, read.target, read.targetAt, read.news)),
+                read.notice);
     }
 
     static byte[] bytes(Transfer transfer, Instant now) {
@@ -133,6 +151,7 @@
                 number(out, figure.getKey(), figure.getValue());
             }
             out.writeEndObject();
+            verdicts(out, transfer.verdicts());
         });
     }
 
@@ -144,6 +163,7 @@
             List<Member> members = List.of();
             List<Word> words = List.of();
             final Map<String, Long> figures = new LinkedHashMap<>();
+            List<Verdict> verdicts = List.of();
         };
         map(body, (name, in) -> {
             switch (name) {
@@ -160,6 +180,7 @@
                     read.figures.put(figure, whole(value));
                     return true;
                 });
+                case "v" -> read.verdicts = list(in, MOST_VERDICTS, Codec::verdict);
                 default -> {
                     return false;
                 }
@@ -167,7 +188,18 @@
             return true;
         });
         return new Transfer(read.nonce, read.ask, read.index, read.last, read.members, read.words,
-                read.figures);
+                read.figures, read.verdicts);
+    }
+
+    /** Verdicts as a snapshot holds them. */
+    static byte[] verdicts(List<Verdict> verdicts) {
+        return body(out -> verdicts(out, verdicts));
+    }
+
+    static List<Verdict> verdicts(byte[] body) throws IOException {
+        List<Verdict> read = new ArrayList<>();
+        map(body, (name, in) -> name.equals("v") && read.addAll(list(in, MOST_VERDICTS, Codec::verdict)));
+        return read;
     }
 
     /** Words as a snapshot holds them, with the name of the instance whose snapshot it is. */
@@ -198,6 +230,134 @@
         return read.name.equals(name) ? Optional.of(read.words) : Optional.empty();
     }
 
+    // ---- what is shared
+
+    private static void notice(JsonGenerator out, Notice notice) throws IOException {
+        number(out, "d", notice.digest());
+        out.writeArrayFieldStart("h");
+        for (Map.Entry<Long, Long> held : notice.held().entrySet()) {
+            out.writeNumber(held.getKey());
+            out.writeNumber(held.getValue());
+        }
+        out.writeEndArray();
+        out.writeArrayFieldStart("p");
+        for (Piece piece : notice.pieces()) {
+            out.writeStartObject();
+            text(out, "n", piece.name());
+            number(out, "w", piece.window());
+            number(out, "i", piece.number());
+            number(out, "o", piece.of());
+            number(out, "h", piece.heard());
+            out.writeObjectFieldStart("k");
+            for (Map.Entry<String, Double> wanted : piece.wanted().entrySet()) {
+                out.writeNumberField(wanted.getKey(), wanted.getValue()); // whole: all have to reckon alike
+            }
+            out.writeEndObject();
+            out.writeEndObject();
+        }
+        out.writeEndArray();
+        verdicts(out, notice.verdicts());
+    }
+
+    private static Notice notice(JsonParser in) throws IOException {
+        var read = new Object() {
+            long digest;
+            List<Long> held = List.of();
+            List<Piece> pieces = List.of();
+            List<Verdict> verdicts = List.of();
+        };
+        members(in, (name, value) -> {
+            switch (name) {
+                case "d" -> read.digest = whole(value);
+                case "h" -> read.held = list(value, 2 * MOST_WINDOWS, Codec::whole);
+                case "p" -> read.pieces = list(value, MOST_PIECES, Codec::piece);
+                case "v" -> read.verdicts = list(value, MOST_VERDICTS, Codec::verdict);
+                default -> {
+                    return false;
+                }
+            }
+            return true;
+        });
+        Map<Long, Long> held = new HashMap<>();
+        for (int i = 0; i + 1 < read.held.size(); i += 2) {
+            held.put(read.held.get(i), read.held.get(i + 1));
+        }
+        return new Notice(read.digest, held, read.pieces, read.verdicts);
+    }
+
+    private static Piece piece(JsonParser in) throws IOException {
+        var read = new Object() {
+            String name = "";
+            long window, number, of, heard;
+            final Map<String, Double> wanted = new HashMap<>();
+        };
+        members(in, (name, value) -> {
+            switch (name) {
+                case "n" -> read.name = text(value);
+                case "w" -> read.window = whole(value);
+                case "i" -> read.number = bounded(whole(value), MOST_PIECES);
+                case "o" -> read.of = bounded(whole(value), MOST_PIECES);
+                case "h" -> read.heard = whole(value);
+                case "k" -> members(value, (key, units) -> {
+                    double wanted = real(units);
+                    if (!(wanted >= 0 && wanted < MOST_UNITS) || read.wanted.size() >= Sharing.MOST_KEYS) {
+                        throw new IOException("a demand that is none, or too many");
+                    }
+                    read.wanted.put(key, wanted);
+                    return true;
+                });
+                default -> {
+                    return false;
+                }
+            }
+            return true;
+        });
+        return new Piece(read.name, read.window, (int) read.number, (int) read.of, read.heard,
+                read.wanted);
+    }
+
+    private static void verdicts(JsonGenerator out, List<Verdict> verdicts) throws IOException {
+        if (verdicts.isEmpty()) {
+            return;
+        }
+        out.writeArrayFieldStart("v");
+        for (Verdict verdict : verdicts) {
+            out.writeStartObject();
+            text(out, "s", verdict.subject());
+            text(out, "w", verdict.word());
+            number(out, "a", verdict.at().toEpochMilli());
+            text(out, "b", verdict.by());
+            number(out, "n", verdict.number());
+            out.writeEndObject();
+        }
+        out.writeEndArray();
+    }
+
+    private static Verdict verdict(JsonParser in) throws IOException {
+        var read = new Object() {
+            String subject = "", word = "", by = "";
+            long at, number;
+        };
+        members(in, (name, value) -> {
+            switch (name) {
+                case "s" -> read.subject = text(value);
+                case "w" -> read.word = text(value);
+                case "a" -> read.at = bounded(whole(value), MOST_AT_MS);
+                case "b" -> read.by = text(value);
+                case "n" -> read.number = bounded(whole(value), Long.MAX_VALUE - 1);
+                default -> {
+                    return false;
+                }
+            }
+            return true;
+        });
+        if (read.subject.isEmpty() || read.word.isEmpty() || read.subject.length() > Sharing.MOST_TEXT
+                || read.word.length() > Sharing.MOST_TEXT) {
+            throw new IOException("a verdict on nothing, or of too many letters");
+        }
+        return new Verdict(read.subject, read.word, Instant.ofEpochMilli(read.at), read.by, read.number);
+    }
+
     // ---- words and members
 
     private static void words(JsonGenerator out, List<Word> words, Instant now) throws IOException {
--- a/src/main/java/cypressglade/peer/Peers.java
+++ b/src/main/java/cypressglade/peer/Peers.java
@@ -1,5 +1,7 @@
 package cypressglade.peer;
 
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import cypressglade.core.Asked;
 import cypressglade.core.Counters;
 import cypressglade.core.Counters.Name;
 import cypressglade.core.Engine;
@@ -16,6 +18,12 @@
 import cypressglade.member.Swim;
 import cypressglade.net.Datagrams;
 import cypressglade.net.Loop;
+import cypressglade.share.Grant;
+import cypressglade.share.Key;
+import cypressglade.share.Notice;
+import cypressglade.share.Sharing;
+import cypressglade.share.Terms;
+import cypressglade.share.Verdicts.Verdict;
 import cypressglade.snapshot.SnapshotStore;
 import java.io.IOException;
 import java.lang.System.Logger.Level;
@@ -25,6 +33,7 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.EnumMap;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -42,6 +51,8 @@
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
+import java.util.stream.Collectors;
 
 /**
  * What this instance has to do with others, and with its own former life. One thread owns the membership,
@@ -52,6 +63,7 @@
     private static final System.Logger LOG = System.getLogger(Peers.class.getName());
     private static final Duration LOOK = Duration.ofMillis(250); // a silence of one request lasts longer
     private static final long VIEW_WAIT_MS = 500; // half of what a caller at the door waits
+    private static final Duration ANY_AGE = Duration.ofDays(36_500);
     private static final Duration CENSUS_HOLD = Duration.ofSeconds(30);
     private static final Duration STOP_WAIT = Duration.ofMillis(500);
     private static final int MOST_WAITING = 256;
@@ -75,7 +87,9 @@
     private final AtomicInteger waiting = new AtomicInteger();
     private final AtomicBoolean closing = new AtomicBoolean();
     private final CountDownLatch learned = new CountDownLatch(1);
+    private final Consumer<Verdict> ruling;
     private final Optional<SnapshotStore> store;
+    private final Optional<SnapshotStore> verdicts;
     private volatile KeyRing keys;
     private volatile List<Member> members = List.of();
 
@@ -91,6 +105,7 @@
     private Census.Share share = new Census.Share(0, 1);
     private Swim swim;
     private Optional<View> view = Optional.empty();
+    private Optional<Sharing<InetSocketAddress>> sharing = Optional.empty();
     private Datagrams datagrams;
     private TransferServer transfers;
     private TransferClient client;
@@ -98,7 +113,17 @@
     private boolean closed;
 
     public Peers(PeersConfig config, Loop loop, Engine engine, Counters counters) {
+        this(config, loop, engine, counters, verdict -> { });
+    }
+
+    /**
+     * The same, with somebody who acts on what operators decided at other members, and at this one in its
+     * former life; told on the owner's thread.
+     */
+    public Peers(PeersConfig config, Loop loop, Engine engine, Counters counters,
+            Consumer<Verdict> ruling) {
         this.config = config;
+        this.ruling = ruling;
         this.loop = loop;
         this.engine = engine;
         this.counters = counters;
@@ -107,9 +132,31 @@
         learner = new Learner(new Origin(config.name(), life), config.mostNodes());
         guard = new ReplayGuard(life);
         store = config.snapshots().map(kept -> new SnapshotStore(kept.directory(), "learned"));
+        verdicts = config.snapshots().filter(kept -> shares(config))
+                .map(kept -> new SnapshotStore(kept.directory(), "verdicts"));
         keys = config.talk().map(PeersConfig.Talk::keys).orElse(null);
     }
 
+    private static boolean shares(PeersConfig config) {
+        return config.talk().flatMap(PeersConfig.Talk::terms).isPresent();
+    }
+
+    /** Whether limits and verdicts are shared. */
+    public boolean shares() {
+        return shares(config);
+    }
+
+    /**
+     * An operator decided at this instance: all members are told. Returns at once, from any thread; nothing
+     * happens where verdicts are not shared.
+     */
+    public void decided(String subject, String word) {
+        execute(() -> sharing.ifPresent(kept -> {
+            say(kept.give(subject, word, Time.now()), "verdict");
+            keepVerdicts(kept);
+        }));
+    }
+
     private static Thread daemon(Runnable task, String name) {
         Thread thread = new Thread(task, name);
         thread.setDaemon(true);
@@ -173,7 +220,11 @@
             return Optional.empty();
         }
         CompletableFuture<Optional<String>> said = new CompletableFuture<>();
-        execute(() -> said.complete(view.map(kept -> kept.whole(swim, Time.now()))));
+        execute(() -> said.complete(view.map(kept -> {
+            ObjectNode whole = kept.whole(swim, Time.now());
+            sharing.ifPresent(shared -> SharedLines.add(whole, shared));
+            return whole.toString();
+        })));
         try {
             return said.get(VIEW_WAIT_MS, TimeUnit.MILLISECONDS);
         } catch (ExecutionException | TimeoutException late) {
@@ -270,12 +321,18 @@
         swim = new Swim(new Member(config.name(), at, life, 0, Member.State.ALIVE), talk.seeds(),
                 talk.timing(), random, new Wiring(), now);
         view = talk.view() ? Optional.of(new View(config.name(), now)) : Optional.empty();
+        sharing = talk.terms().map(terms -> new Sharing<>(config.name(), terms, engine.coldSpan(),
+                recallVerdicts(), random, new Shared(terms), now));
         execute(() -> {
             talk.seeds().stream().filter(seed -> !seed.equals(at)).forEach(this::pull);
             if (pulls.isEmpty()) {
                 learned.countDown(); // nobody to learn from
             }
             tick();
+            sharing.ifPresent(kept -> {
+                kept.begin();
+                share();
+            });
         });
         owner.scheduleWithFixedDelay(guarded(this::refresh), talk.refresh().toMillis(),
                 talk.refresh().toMillis(), TimeUnit.MILLISECONDS);
@@ -307,6 +364,17 @@
         }
     }
 
+    /** Looks at the clock of what is shared, a few times in each window. */
+    private void share() {
+        Sharing<InetSocketAddress> shared = sharing.orElseThrow();
+        shared.tick(swim.present().stream().collect(Collectors.toMap(Member::name, Member::address,
+                (one, other) -> one)), Time.now());
+        if (!closed) {
+            long wait = Math.max(1, Time.until(shared.due(Time.now())).toMillis() + 1);
+            owner.schedule(guarded(this::share), wait, TimeUnit.MILLISECONDS);
+        }
+    }
+
     /** Asks the module what it knows, and tells it what it does not. */
     private void look() {
         shortAnswers = 0;
@@ -373,6 +441,7 @@
             public void came(Transfer frame) {
                 swim.merge(frame.members(), Time.now());
                 learner.take(frame.words(), Time.now());
+                sharing.ifPresent(kept -> kept.take(frame.verdicts()));
                 publish();
             }
 
@@ -420,13 +489,14 @@
         List<Member> members = swim.list();
         List<Word> words = learner.words(now,
                 Math.min(Math.min(Codec.MOST_WORDS, asked.index()), config.mostNodes() * WORDS_A_NODE));
+        List<Verdict> held = sharing.map(Sharing::verdicts).orElse(List.of());
         int frames = Math.max(1, Math.max((members.size() + MEMBERS_A_FRAME - 1) / MEMBERS_A_FRAME,
-                (words.size() + WORDS_A_FRAME - 1) / WORDS_A_FRAME));
+                (Math.max(held.size(), words.size()) + WORDS_A_FRAME - 1) / WORDS_A_FRAME));
         List<byte[]> answer = new ArrayList<>();
         for (int i = 0; i < frames; i++) {
             answer.add(Sealed.seal(keys, Codec.bytes(new Transfer(asked.ask(), 0, i, i == frames - 1,
                     part(members, i, MEMBERS_A_FRAME), part(words, i, WORDS_A_FRAME),
-                    i == 0 ? figures() : Map.of()), now)));
+                    i == 0 ? figures() : Map.of(), part(held, i, WORDS_A_FRAME)), now)));
         }
         return answer;
     }
@@ -447,6 +517,11 @@
         figures.put("health", (long) swim.health().score());
         figures.put("stalls", swim.stalls());
         figures.put("members_turned_away", swim.turnedAway());
+        sharing.ifPresent(kept -> {
+            figures.put("limits_agreed_among", (long) kept.granted().agreed());
+            figures.put("verdicts_held", (long) kept.verdicts().size());
+            figures.put("shared_turned_away", kept.turnedAway());
+        });
         return figures;
     }
 
@@ -470,12 +545,12 @@
                     if (kept != null) {
                         put(from, kept);
                     }
-                    if (envelope.message().isPresent()) {
-                        swim.receive(envelope.message().get(), from, Time.now());
-                    }
+                    envelope.message().ifPresent(message -> swim.receive(message, from, Time.now()));
+                    envelope.notice().ifPresent(notice -> sharing.ifPresent(
+                            shared -> shared.receive(notice, from)));
                 }
                 case UNKNOWN_LIFE -> {
-                    if (envelope.message().isPresent()) { // or two would tell each other without end
+                    if (envelope.says()) { // or two would tell each other without end
                         answerShortly(from, Sealed.seal(keys, Codec.bytes(new Envelope(life, envelope.from(),
                                 guard.next(), Optional.empty()))));
                     }
@@ -506,8 +581,98 @@
     }
 
     private void put(InetSocketAddress to, Message message) {
+        send(to, Optional.of(message), Optional.empty());
+    }
+
+    private void send(InetSocketAddress to, Optional<Message> message, Optional<Notice> notice) {
         datagrams.send(to, Sealed.seal(keys, Codec.bytes(new Envelope(life, guard.lifeAt(to), guard.next(),
-                Optional.of(message)))));
+                message, notice))));
+    }
+
+    /** What sharing orders. */
+    private final class Shared implements Sharing.Out<InetSocketAddress> {
+        private final Terms terms;
+
+        Shared(Terms terms) {
+            this.terms = terms;
+        }
+
+        @Override
+        public void send(InetSocketAddress to, Notice notice) {
+            Peers.this.send(to, Optional.empty(), Optional.of(notice));
+        }
+
+        @Override
+        public void exchange(InetSocketAddress with) {
+            pull(with);
+        }
+
+        @Override
+        public void ruled(Verdict verdict) {
+            say(verdict, "verdict_taken");
+            ruling.accept(verdict);
+            sharing.ifPresent(Peers.this::keepVerdicts);
+        }
+
+        @Override
+        public void granted(Grant grant) {
+            Map<Long, Double> volumes = new HashMap<>();
+            Map<Asked.ColdNode, Double> cold = new HashMap<>();
+            grant.parts().forEach((key, part) -> {
+                if (Key.isVolume(key)) {
+                    volumes.put(Key.volume(key), part);
+                } else {
+                    Key.run(key).ifPresent(run -> cold.put(
+                            new Asked.ColdNode(run.id(), run.startedUs()), part));
+                }
+            });
+            engine.grant(new Engine.Granted(volumes, cold, grant.rest(), grant.coldRest(),
+                    terms.least(),
+                    terms.begin(grant.window() + 1)));
+        }
+
+        @Override
+        public void ask(long window) {
+            engine.demand(demand -> {
+                Map<String, Double> wanted = new HashMap<>();
+                demand.volumes().forEach((volume, units) -> wanted.put(Key.volume(volume), units));
+                demand.cold().forEach((node, units) -> wanted.put(
+                        Key.node(node.id(), node.startedUs()), units));
+                execute(() -> sharing.ifPresent(kept -> kept.wanted(window, wanted)));
+            });
+        }
+    }
+
+    private void say(Verdict verdict, String what) {
+        LOG.log(Level.INFO, "{0}", SharedLines.verdict(config.name(), what, verdict, Time.now()));
+    }
+
+    private void keepVerdicts(Sharing<InetSocketAddress> kept) {
+        verdicts.ifPresent(file -> {
+            byte[] body = Codec.verdicts(kept.verdicts());
+            disk.execute(() -> write(file, body));
+        });
+    }
+
+    /** Verdicts of the former life: they hold however long it is over. */
+    private List<Verdict> recallVerdicts() {
+        for (SnapshotStore.Found found : verdicts.map(file -> file.read(Instant.now(), ANY_AGE))
+                .orElse(List.of())) {
+            try {
+                if (found.fault() == SnapshotStore.Fault.NONE) {
+                    return Codec.verdicts(found.body());
+                }
+                ignored(found, found.fault().name());
+            } catch (IOException unreadable) {
+                ignored(found, unreadable.getMessage());
+            }
+        }
+        return List.of();
+    }
+
+    private void ignored(SnapshotStore.Found found, String fault) {
+        counters.add(Name.SNAPSHOTS_IGNORED);
+        LOG.log(Level.WARNING, "{0} is ignored: {1}", found.file(), fault);
     }
 
     /** What the membership orders. */
@@ -548,14 +713,16 @@
     }
 
     private void write(byte[] body) {
-        if (store.isPresent()) {
-            try {
-                store.get().write(body, Instant.now());
-                counters.add(Name.SNAPSHOTS_WRITTEN);
-            } catch (IOException failed) {
-                counters.add(Name.SNAPSHOTS_FAILED);
-                LOG.log(Level.WARNING, "snapshot not written: {0}", failed.toString());
-            }
+        store.ifPresent(file -> write(file, body));
+    }
+
+    private void write(SnapshotStore file, byte[] body) {
+        try {
+            file.write(body, Instant.now());
+            counters.add(Name.SNAPSHOTS_WRITTEN);
+        } catch (IOException failed) {
+            counters.add(Name.SNAPSHOTS_FAILED);
+            LOG.log(Level.WARNING, "snapshot not written: {0}", failed.toString());
         }
     }
 
@@ -580,8 +747,7 @@
                     fault = unreadable.getMessage();
                 }
             }
-            counters.add(Name.SNAPSHOTS_IGNORED);
-            LOG.log(Level.WARNING, "{0} is ignored: {1}", found.file(), fault);
+            ignored(found, fault);
         }
     }
 }
--- a/src/main/java/cypressglade/peer/PeersConfig.java
+++ b/src/main/java/cypressglade/peer/PeersConfig.java
@@ -1,6 +1,7 @@
 package cypressglade.peer;
 
 import cypressglade.member.Timing;
+import cypressglade.share.Terms;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -26,10 +27,11 @@
      * @param shareCold whether what all instances may send to a cold node is shared among who is there
      * @param timing of the membership
      * @param view whether the fleet's view is kept: logged at each change, and told at the operators' door
+     * @param terms of what is shared of limits and verdicts; nothing where nothing is
      */
     public record Talk(InetSocketAddress listen, Optional<InetSocketAddress> advertised,
             List<InetSocketAddress> seeds, KeyRing keys, Duration refresh, boolean shareCold, Timing timing,
-            boolean view) { }
+            boolean view, Optional<Terms> terms) { }
 
     /** Snapshots: the directory, how often one is written, and how old one may be to be read. */
     public record Snapshots(Path directory, Duration every, Duration mostAge) { }
--- a/src/main/java/cypressglade/peer/Transfer.java
+++ b/src/main/java/cypressglade/peer/Transfer.java
@@ -2,6 +2,7 @@
 
 import cypressglade.learn.Word;
 import cypressglade.member.Member;
+import cypressglade.share.Verdicts.Verdict;
 import java.util.List;
 import java.util.Map;
 
@@ -14,6 +15,12 @@
  * @param index of an answer's frame, from 0; in a request how many words are wanted
  * @param last whether no frame follows
  * @param figures counters by name, for operators
+ * @param verdicts some of those that the answerer holds
  */
 record Transfer(long nonce, long ask, int index, boolean last, List<Member> members, List<Word> words,
-        Map<String, Long> figures) { }
+        Map<String, Long> figures, List<Verdict> verdicts) {
+    Transfer(long nonce, long ask, int index, boolean last, List<Member> members, List<Word> words,
+            Map<String, Long> figures) {
+        this(nonce, ask, index, last, members, words, figures, List.of());
+    }
+}
--- a/src/main/java/cypressglade/share/Shares.java
+++ b/src/main/java/cypressglade/share/Shares.java
@@ -1,5 +1,6 @@
 package cypressglade.share;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -90,24 +91,62 @@
         reports.headMap(window - lag, false).clear();
     }
 
+    /** Of the roster in order, whose reports of a window are held: bit {@code i} for the {@code i}th. */
+    long held(long window, List<String> names) {
+        Map<String, Report> of = of(window);
+        long bits = 0;
+        for (int i = 0; i < names.size(); i++) {
+            bits |= of.containsKey(names.get(i)) ? 1L << i : 0;
+        }
+        return bits;
+    }
+
     /** This member's part of the whole for a key in a window, {@code floor/n} to 1. */
     public double part(String key, long window) {
+        return part(key, agreed(window));
+    }
+
+    /** This member's parts in a window, of all keys that were reported. */
+    public Grant grant(long window) {
+        List<Report> agreed = agreed(window);
+        Map<String, Double> parts = new HashMap<>();
+        agreed.forEach(report -> report.wanted().keySet().forEach(
+                key -> parts.computeIfAbsent(key, each -> part(each, agreed))));
+        double rest = part("", agreed);
+        return new Grant(window, parts, rest, rest, agreed.size());
+    }
+
+    private double part(String key, List<Report> agreed) {
         double least = floor / roster.size();
+        if (agreed.isEmpty()) {
+            return least;
+        }
+        double all = 0;
+        double own = 0;
+        for (Report report : agreed) {
+            double wanted = report.wanted().getOrDefault(key, 0.0);
+            all += wanted;
+            own = report.name().equals(self) ? wanted : own;
+        }
+        return least + (1 - floor) * (all > 0 ? own / all : 1.0 / agreed.size());
+    }
+
+    /** Reports of one set of members, each of which reported that set; in one order, as sums hang on it. */
+    private List<Report> agreed(long window) {
         Map<String, Report> of = of(window - lag);
         Report own = of.get(self);
         if (own == null || 2 * own.heard().size() <= roster.size() || !own.heard().contains(self)) {
-            return least;
+            return List.of();
         }
-        double all = 0;
-        for (String name : new TreeSet<>(own.heard())) { // one order: sums of doubles hang on it
+        List<Report> agreed = new ArrayList<>();
+        for (String name : new TreeSet<>(own.heard())) {
             Report report = of.get(name);
             if (report == null || !report.heard().equals(own.heard())) {
-                return least;
+                return List.of();
             }
-            all += report.wanted().getOrDefault(key, 0.0);
+            agreed.add(report);
         }
-        double part = all > 0 ? own.wanted().getOrDefault(key, 0.0) / all : 1.0 / own.heard().size();
-        return least + (1 - floor) * part;
+        return agreed;
     }
 
     private Map<String, Report> of(long window) {
--- /dev/null
+++ b/src/main/java/cypressglade/share/Sharing.java
@@ -0,0 +1,286 @@
+package cypressglade.share;
+
+import cypressglade.share.Notice.Piece;
+import cypressglade.share.Verdicts.Verdict;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+
+/**
+ * One member's side of what a fleet shares. Each window it asks its scheduler what was wanted, tells that to
+ * all, and reckons its parts of the window that begins ({@link Shares}); in between it asks a few others what
+ * they hold, so that what a link lost comes another way. Verdicts go out once when they are new and are
+ * compared by digest after that.
+ *
+ * <p>Time and chance come in as arguments; what goes out goes through {@link Out}. Not safe for use by
+ * several threads.
+ *
+ * @param <A> how another member is reached
+ */
+public final class Sharing<A> {
+    /** Looks within a window. */
+    public static final int TICKS = 4;
+    /** Keys that a report names: those asked for most. All others share what is left as unknown ones do. */
+    public static final int MOST_KEYS = 256;
+    private static final int ASKED_A_TICK = 2;
+    private static final int PIECES_AN_ANSWER = 8;
+    private static final int VERDICTS_A_NOTICE = 3;
+    private static final int MOST_KEY = 40; // letters: a datagram holds a piece's keys
+    /** Most letters of a subject or a word: a datagram holds a few of them. */
+    public static final int MOST_TEXT = 128;
+
+    private final String self;
+    private final Terms terms;
+    private final List<String> names;
+    private final int span;
+    private final RandomGenerator random;
+    private final Out<A> out;
+    private final Shares shares;
+    private final Verdicts verdicts;
+    private final TreeMap<Long, Map<String, Map<Integer, Piece>>> partial = new TreeMap<>();
+    private Map<String, A> present = Map.of();
+    private long current;
+    private Grant granted;
+    private boolean stale;
+    private long strangers;
+
+    /** What it orders. */
+    public interface Out<A> {
+        /** One datagram to a member. */
+        void send(A to, Notice notice);
+
+        /** Exchange all verdicts with a member over a way that loses nothing. */
+        void exchange(A with);
+
+        /** A verdict holds from now on that did not before; not told of those that this member gives. */
+        void ruled(Verdict verdict);
+
+        /** These parts hold to the end of their window. */
+        void granted(Grant grant);
+
+        /** Asks what was wanted in a window that is over, to be told by {@link Sharing#wanted}. */
+        void ask(long window);
+    }
+
+    /**
+     * A member that starts now.
+     *
+     * @param held how long what was sent counts against a part: a part that does not fill anew, as of a cold
+     * node, is the least of those of so long a time
+     * @param kept verdicts of the former life
+     */
+    public Sharing(String self, Terms terms, Duration held, Collection<Verdict> kept,
+            RandomGenerator random, Out<A> out, Instant now) {
+        this.self = self;
+        this.terms = terms;
+        this.names = terms.names();
+        this.span = (int) Math.ceil((double) held.toMillis() / terms.window().toMillis());
+        this.random = random;
+        this.out = out;
+        current = terms.window(now);
+        shares = new Shares(self, terms.roster(), terms.floor(), terms.lag(), current);
+        verdicts = new Verdicts(self, kept);
+        granted = shares.grant(current);
+    }
+
+    /** Tells what holds at the start: the floors, and the verdicts of the former life. */
+    public void begin() {
+        verdicts.all().forEach(out::ruled);
+        out.granted(granted);
+    }
+
+    /** When to look next. */
+    public Instant due(Instant now) {
+        long step = Math.max(1, terms.window().toMillis() / TICKS);
+        return Instant.ofEpochMilli((Math.floorDiv(now.toEpochMilli(), step) + 1) * step);
+    }
+
+    /**
+     * Looks at the clock.
+     *
+     * @param alive the other members that this one holds alive, and how they are reached
+     */
+    public void tick(Map<String, A> alive, Instant now) {
+        present = alive.entrySet().stream()
+                .filter(one -> terms.roster().contains(one.getKey()) && !one.getKey().equals(self))
+                .collect(Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue, (a, b) -> a, TreeMap::new));
+        long window = terms.window(now);
+        if (window > current) {
+            current = window;
+            shares.forgetBefore(window - span);
+            partial.headMap(window - terms.lag(), false).clear();
+            stale = true;
+            out.ask(window - 1);
+        }
+        grant();
+        List<A> others = new ArrayList<>(present.values());
+        for (int i = 0; i < ASKED_A_TICK && !others.isEmpty(); i++) {
+            out.send(others.remove(random.nextInt(others.size())),
+                    new Notice(verdicts.digest(), held(), List.of(), List.of()));
+        }
+    }
+
+    /** What was wanted here in a window that is over, by key; goes out as this member's report. */
+    public void wanted(long window, Map<String, Double> wanted) {
+        Map<String, Double> most = wanted.entrySet().stream()
+                .filter(one -> one.getValue() > 0 && one.getKey().length() <= MOST_KEY)
+                .sorted(Map.Entry.<String, Double>comparingByValue().reversed()
+                        .thenComparing(Map.Entry.comparingByKey())).limit(MOST_KEYS)
+                .collect(Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue));
+        Set<String> heard = new HashSet<>(present.keySet());
+        heard.add(self);
+        shares.report(window, heard, most).ifPresent(report -> Notice.pieces(report, names).forEach(
+                piece -> present.values().forEach(to -> out.send(to,
+                        new Notice(verdicts.digest(), Map.of(), List.of(piece), List.of())))));
+        stale |= window <= current - terms.lag();
+        grant();
+    }
+
+    /** Takes what another member said, and answers where that is wanted. */
+    public void receive(Notice notice, A from) {
+        notice.pieces().forEach(this::take);
+        take(notice.verdicts());
+        if (!notice.held().isEmpty()) {
+            answer(notice, from);
+        }
+        grant();
+    }
+
+    /** Takes verdicts of others. */
+    public void take(List<Verdict> others) {
+        for (Verdict verdict : others) {
+            if (!terms.roster().contains(verdict.by())) {
+                strangers++;
+            } else if (verdicts.take(verdict)) {
+                out.ruled(verdict);
+                spread(verdict);
+            }
+        }
+    }
+
+    /** An operator decided here: all are told, and it holds over a restart once it is kept. */
+    public Verdict give(String subject, String word, Instant now) {
+        Verdict verdict = verdicts.give(subject, word, now);
+        spread(verdict);
+        return verdict;
+    }
+
+    private void spread(Verdict verdict) {
+        present.values().forEach(to -> out.send(to,
+                new Notice(verdicts.digest(), Map.of(), List.of(), List.of(verdict))));
+    }
+
+    private void take(Piece piece) {
+        if (piece.window() < current - terms.lag() - span || piece.window() > current + 1
+                || !terms.roster().contains(piece.name()) || piece.of() < 1
+                || piece.of() > MOST_KEYS || piece.number() < 0 || piece.number() >= piece.of()) {
+            strangers += terms.roster().contains(piece.name()) ? 0 : 1;
+            return;
+        }
+        Map<String, Map<Integer, Piece>> window = partial.computeIfAbsent(piece.window(),
+                number -> new HashMap<>());
+        Map<Integer, Piece> pieces = window.computeIfAbsent(piece.name(), name -> new TreeMap<>());
+        pieces.putIfAbsent(piece.number(), piece);
+        if (pieces.size() == piece.of()) {
+            Map<String, Double> wanted = new LinkedHashMap<>();
+            pieces.values().forEach(one -> wanted.putAll(one.wanted()));
+            shares.take(new Report(piece.name(), piece.window(), heard(piece.heard()), wanted));
+            window.remove(piece.name());
+            stale |= piece.window() <= current - terms.lag();
+        }
+    }
+
+    private Set<String> heard(long bits) {
+        return IntStream.range(0, names.size()).filter(i -> (bits & 1L << i) != 0).mapToObj(names::get)
+                .collect(Collectors.toSet());
+    }
+
+    private Map<Long, Long> held() {
+        Map<Long, Long> held = new TreeMap<>();
+        for (long window = current - terms.lag(); window < current; window++) {
+            held.put(window, shares.held(window, names));
+        }
+        return held;
+    }
+
+    private void answer(Notice notice, A from) {
+        List<Piece> lacking = shares.since(current - terms.lag()).stream()
+                .filter(report -> notice.held().containsKey(report.window()) && (notice.held()
+                        .get(report.window()) & 1L << names.indexOf(report.name())) == 0)
+                .sorted(Comparator.comparingLong(Report::window).thenComparing(Report::name))
+                .flatMap(report -> Notice.pieces(report, names).stream()).limit(PIECES_AN_ANSWER).toList();
+        for (Piece piece : lacking) {
+            out.send(from, new Notice(verdicts.digest(), Map.of(), List.of(piece), List.of()));
+        }
+        if (notice.digest() != verdicts.digest()) {
+            List<Verdict> all = verdicts.all();
+            if (all.size() <= VERDICTS_A_NOTICE) {
+                out.send(from, new Notice(verdicts.digest(), Map.of(), List.of(), all));
+            } else {
+                out.exchange(from); // each sees the other's digest, and fetches what it lacks
+            }
+        }
+    }
+
+    /** Reckons anew where a report has come that counts by now, or another window has begun. */
+    private void grant() {
+        if (!stale) {
+            return;
+        }
+        stale = false;
+        Grant least = shares.grant(current);
+        Map<String, Double> parts = new HashMap<>(least.parts());
+        double cold = least.rest();
+        for (long before = current - span; before < current; before++) {
+            Grant then = shares.grant(before);
+            Set<String> keys = new TreeSet<>(parts.keySet());
+            keys.addAll(then.parts().keySet());
+            for (String key : keys) {
+                if (key.startsWith(Key.NODE)) {
+                    parts.put(key, Math.min(parts.getOrDefault(key, cold),
+                            then.parts().getOrDefault(key, then.rest())));
+                }
+            }
+            cold = Math.min(cold, then.rest());
+        }
+        Grant next = new Grant(current, parts, least.rest(), cold, least.agreed());
+        if (!next.equals(granted)) {
+            granted = next;
+            out.granted(next);
+        }
+    }
+
+    /** What holds in the present window. */
+    public Grant granted() {
+        return granted;
+    }
+
+    /** All verdicts that hold, for others and for the snapshot. */
+    public List<Verdict> verdicts() {
+        return verdicts.all();
+    }
+
+    /** The verdict on a subject. */
+    public Optional<Verdict> verdict(String subject) {
+        return verdicts.on(subject);
+    }
+
+    /** Reports and verdicts turned away: of names that are not of the roster, or for want of room. */
+    public long turnedAway() {
+        return strangers + shares.turnedAway() + verdicts.turnedAway();
+    }
+}
--- a/src/main/java/cypressglade/share/Verdicts.java
+++ b/src/main/java/cypressglade/share/Verdicts.java
@@ -1,6 +1,7 @@
 package cypressglade.share;
 
 import java.time.Instant;
+import java.time.temporal.ChronoUnit;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
@@ -44,8 +45,9 @@
 
     /** A verdict given at this member; later than what it holds of the subject, whatever its clock says. */
     public Verdict give(String subject, String word, Instant now) {
+        Instant clock = now.truncatedTo(ChronoUnit.MILLIS); // as others hear of it, or two would differ
         Verdict before = bySubject.get(subject);
-        Instant at = before == null || before.at().isBefore(now) ? now : before.at().plusMillis(1);
+        Instant at = before == null || before.at().isBefore(clock) ? clock : before.at().plusMillis(1);
         Verdict verdict = new Verdict(subject, word, at, self, ++lastNumber);
         take(verdict);
         return verdict;
@@ -78,6 +80,16 @@
         return List.copyOf(bySubject.values());
     }
 
+    /** A figure that is the same for whoever holds the same, and most likely another for whoever does not. */
+    public long digest() {
+        long digest = 1;
+        for (Verdict verdict : bySubject.values()) {
+            long one = verdict.subject().hashCode() * 31L + verdict.at().toEpochMilli();
+            digest = digest * 0x9E3779B97F4A7C15L + one * 31 + verdict.by().hashCode();
+        }
+        return digest;
+    }
+
     /** Verdicts that there was no room for. */
     public long turnedAway() {
         return turnedAway;
--- a/src/test/java/cypressglade/config/ConfigTest.java
+++ b/src/test/java/cypressglade/config/ConfigTest.java
@@ -7,6 +7,8 @@
 import cypressglade.core.Scheduler.State;
 import cypressglade.member.Timing;
 import cypressglade.peer.PeersConfig;
+import cypressglade.share.Terms;
+import java.util.Set;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -104,6 +106,10 @@
             "period_ms": 1000 | "period_ms": 99 | period_ms is not a whole number from 100 to 60000
             "view": true | "view": "yes" | view is neither true nor false
             "seeds": ["127.0.0.1:10821"] | "seeds": ["here"] | seeds is not ADDRESS:PORT
+            "scheduler-1", "scheduler-2" | "scheduler-2", "scheduler-2" | roster has a name twice, or one that is
+            "scheduler-1", "scheduler-2" | "scheduler-4", "scheduler-2" | roster has to name this instance (name)
+            "floor": 0.25 | "floor": 0 | floor is not over 0 and at most 1
+            "lag": 2 | "lag": 0 | lag is not a whole number from 1 to 10
             """)
     void theFleetsFileIsUsableAndNamesWhatIsNot(String from, String to, String message, @TempDir Path folder)
             throws Exception {
@@ -116,6 +122,8 @@
                 .orElseThrow().talk().orElseThrow();
         assertThat(talk.view()).isTrue();
         assertThat(talk.timing()).isEqualTo(Timing.standard());
+        assertThat(talk.terms().orElseThrow()).isEqualTo(new Terms(Set.of("scheduler-1", "scheduler-2", "scheduler-3"),
+                0.25, 2, Duration.ofSeconds(1)));
         assertThat(shipped).contains(from);
         Path broken = Files.writeString(folder.resolve("broken.json"), shipped.replace(from, to));
         assertThatThrownBy(() -> PeersConfigParser.read(broken)).isInstanceOf(ConfigException.class)
--- a/src/test/java/cypressglade/operate/HandDrainsTest.java
+++ b/src/test/java/cypressglade/operate/HandDrainsTest.java
@@ -171,4 +171,32 @@
                     held.contains(name) ? State.DRAINING : entry.state()));
         }
     }
+
+    /** What is decided here is told in words that another takes, also before it knows the node. */
+    @Test
+    void decisionsOfOneHoldAtAnother() {
+        List<String[]> told = new ArrayList<>();
+        HandDrains there = new HandDrains(list -> { }, (subject, word) -> told.add(new String[] {subject, word}));
+        there.told(new NodeList(1, true, List.of(entry("s-1", 0, State.READY, 5), entry("s-2", 0, State.READY, 5))));
+        there.exclude("s-1");
+        there.drain(order("s-2", true), NOW);
+        assertThat(there.exclude("s-9").kind()).isEqualTo(Kind.UNKNOWN_NODE);
+        assertThat(told).hasSize(2).allSatisfy(one -> assertThat(drains.rule(one[0], one[1], "m-1", NOW)).isTrue());
+        start();
+        assertThat(seen).containsEntry("s-1", State.DRAINING).containsEntry("s-2", State.DRAINING);
+        told.clear();
+        there.include("s-1");
+        there.undrain(order("s-2", false));
+        assertThat(told).hasSize(2).allSatisfy(one -> assertThat(drains.rule(one[0], one[1], "m-1", NOW)).isTrue());
+        assertThat(seen).containsEntry("s-1", State.READY).containsEntry("s-2", State.READY);
+    }
+
+    @Test
+    void aRuledDrainOfARunThatIsOverAndWhatIsNotAboutNodesChangeNothing() {
+        start();
+        assertThat(drains.rule("drain s-1", "drain 4000", "m-1", NOW)).isTrue();
+        assertThat(drains.rule("member m-1", "evacuate", "m-1", NOW)).isFalse();
+        assertThat(drains.rule("drain s-1", "drain x", "m-1", NOW)).isFalse();
+        assertThat(seen).containsEntry("s-1", State.READY);
+    }
 }
--- a/src/test/java/cypressglade/peer/CodecTest.java
+++ b/src/test/java/cypressglade/peer/CodecTest.java
@@ -12,6 +12,9 @@
 import cypressglade.member.Message;
 import cypressglade.member.Message.Kind;
 import cypressglade.member.News;
+import cypressglade.share.Notice;
+import cypressglade.share.Notice.Piece;
+import cypressglade.share.Verdicts.Verdict;
 import cypressglade.peer.Sealed.Fault;
 import cypressglade.peer.Sealed.Refused;
 import java.io.ByteArrayOutputStream;
@@ -60,6 +63,20 @@
         assertThat(Codec.snapshot(snapshot, "you", Duration.ZERO, NOW)).isEmpty();
     }
 
+    @Test
+    void whatIsSharedIsReadAgain() throws Exception {
+        Verdict verdict = new Verdict("node s-1", "exclude", NOW, "m-1", 3);
+        Notice notice = new Notice(-7, Map.of(5L, -1L, 6L, 3L), List.of(new Piece("m-1", 5, 0, 2, 9,
+                Map.of("v 3b4d60021", 0.1, "n 1700000000000000 s-5be2a07c", 3.0))), List.of(verdict));
+        Envelope envelope = new Envelope(1, 2, 3, Optional.empty(), Optional.of(notice));
+        assertThat(Codec.envelope(Codec.bytes(envelope))).isEqualTo(envelope);
+        assertThat(Codec.verdicts(Codec.verdicts(List.of(verdict)))).containsExactly(verdict);
+        Transfer sent = new Transfer(1, 2, 3, true, List.of(MEMBER), List.of(), Map.of(), List.of(verdict));
+        assertThat(Codec.transfer(Codec.bytes(sent, NOW), NOW)).isEqualTo(sent);
+        Verdict lengthy = new Verdict("node " + "s".repeat(130), "exclude", NOW, "m-1", 3);
+        assertThatThrownBy(() -> Codec.verdicts(Codec.verdicts(List.of(lengthy)))).isInstanceOf(IOException.class);
+    }
+
     @Test
     void unknownNamesAreSkippedWhateverTheyHold() throws Exception {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
