Bound client connections by own lateness, and keep that lateness out of what nodes are taken for

Seen: with cheap refusals a round of the I/O thread over 500 connections that always ask takes 185 ms of 0.43 of a core; the module was told that as the nodes' time and refused everything as crowded with nothing out. Changed: storm.Intake (no I/O) bounds connections at once by how late the thread's own looks come, 20 ms on average; the link tells how long a node took from the I/O thread's own times, less that lateness (NodeLink.Ending.took), where RequestLife took it across two changes of threads.

--- a/src/main/java/cypressglade/core/NodeLink.java
+++ b/src/main/java/cypressglade/core/NodeLink.java
@@ -1,6 +1,8 @@
 package cypressglade.core;
 
+import java.time.Duration;
 import java.time.Instant;
+import java.util.Optional;
 import java.util.function.Consumer;
 
 /** A front's way to the storage nodes; none of its methods blocks. */
@@ -19,18 +21,26 @@
         void abandon();
     }
 
-    /** How an attempt or a probe ended; the answer is there only where it was served. */
-    record Ending(Scheduler.Status status, byte[] answer, Told told) {
+    /**
+     * How an attempt or a probe ended; the answer is there only where it was served. {@code took} is how long
+     * the node took, as far as the link can tell it from this program's own lateness; empty where it cannot.
+     */
+    record Ending(Scheduler.Status status, byte[] answer, Told told, Optional<Duration> took) {
         private static final byte[] NONE = {};
 
+        public Ending(Scheduler.Status status, byte[] answer, Told told) {
+            this(status, answer, told, Optional.empty());
+        }
+
         /** An end with no answer, or none that told anything. */
         public static Ending of(Scheduler.Status status) {
             return new Ending(status, NONE, Told.NOTHING);
         }
 
         /** An answer that was read whole; its body counts only where it was served. */
-        public static Ending read(Scheduler.Status status, byte[] answer, Told told) {
-            return new Ending(status, status == Scheduler.Status.OK ? answer : NONE, told);
+        public static Ending read(Scheduler.Status status, byte[] answer, Told told, Duration took) {
+            return new Ending(status, status == Scheduler.Status.OK ? answer : NONE, told,
+                    Optional.of(took));
         }
     }
 
--- a/src/main/java/cypressglade/core/RequestLife.java
+++ b/src/main/java/cypressglade/core/RequestLife.java
@@ -125,8 +125,8 @@
                 counters.add(Name.ANSWERED_SERVED);
                 caller.served(ending.answer());
             }
-            engine.ended(this, attempt, send.node(), ending, Duration.between(sent, Time.now()),
-                    served || gone);
+            engine.ended(this, attempt, send.node(), ending, ending.took().orElseGet(
+                    () -> Duration.between(sent, Time.now())), served || gone);
             if (served || gone) {
                 return;
             }
--- a/src/main/java/cypressglade/http/ClientListener.java
+++ b/src/main/java/cypressglade/http/ClientListener.java
@@ -12,6 +12,7 @@
 import cypressglade.core.Scheduler.Settings;
 import cypressglade.core.Time;
 import cypressglade.net.Loop;
+import cypressglade.storm.Intake;
 import io.undertow.Handlers;
 import io.undertow.UndertowOptions;
 import io.undertow.connector.PooledByteBuffer;
@@ -76,6 +77,10 @@
     /** When a connection may make way for others: one that was used, and one that never said anything. */
     private static final Duration RESTED = Duration.ofSeconds(1);
     private static final Duration SILENT = Duration.ofMillis(100);
+    /** How often this thread looks at how late it runs; late on average from where half of an aim is lost. */
+    private static final Duration PACE = Duration.ofMillis(20);
+    private static final Duration LATE = Duration.ofMillis(20);
+    private static final int LEAST_CLIENTS = 32;
     /** Accepted beyond the bound, while those that make way for them close. */
     private static final int CROSSING = 8;
 
@@ -93,6 +98,8 @@
     private Budget budget;
     private int receiving;
     private int answering;
+    private final Intake intake = new Intake(LEAST_CLIENTS, LATE);
+    private int atOnce = Integer.MAX_VALUE;
     private Instant last = Instant.MAX;
     private boolean leaving;
 
@@ -141,6 +148,30 @@
         listening.bound(budget.clientConnections() + CROSSING);
         listening.channel().resumeAccepts();
         loop.execute(this::sweep);
+        loop.execute(() -> pace(Time.now()));
+    }
+
+    /** Looks at how late this thread runs, and accepts no more than it can work on in time. */
+    private void pace(Instant due) {
+        Instant now = Time.now();
+        int next = intake.look(Duration.between(due, now), clients.size(), budget.clientConnections());
+        loop.late(intake.lateness());
+        if (next != atOnce) {
+            atOnce = next;
+            try {
+                listening.bound(atOnce + CROSSING);
+            } catch (IOException closed) {
+                LOG.log(System.Logger.Level.WARNING, "the bound on clients stays", closed);
+            }
+        }
+        Duration wait = clients.size() < LEAST_CLIENTS ? SWEEP : PACE; // few are never too many
+        Instant then = now.plus(wait);
+        loop.after(wait, () -> pace(then));
+    }
+
+    /** Clients that are worked on at once: by the budget, and fewer where this thread runs late. */
+    private int mostClients() {
+        return Math.min(atOnce, budget.clientConnections());
     }
 
     /** Takes new settings and a new budget; requests that are open go on. */
@@ -148,11 +179,7 @@
         loop.execute(() -> {
             parser = new RequestParser(settings);
             budget = next;
-            try {
-                listening.bound(next.clientConnections() + CROSSING);
-            } catch (IOException closed) {
-                LOG.log(System.Logger.Level.WARNING, "the bound on clients stays", closed);
-            }
+            atOnce = Integer.MAX_VALUE; // the next look bounds it anew
         });
     }
 
@@ -209,12 +236,12 @@
         clients.values().stream().filter(client -> client.idle() && !client.closing && client.answered)
                 .filter(client -> client.since.isBefore(now.minus(RESTED)))
                 .sorted(Comparator.comparing(client -> client.since))
-                .limit(Math.max(0, clients.size() - budget.clientConnections() + CROSSING))
+                .limit(Math.max(0, clients.size() - mostClients() + CROSSING))
                 .forEach(this::closeUnlessAsked);
     }
 
     private boolean crowded() {
-        return clients.size() >= budget.clientConnections() * 5 / 6; // the platform's own stay below that
+        return clients.size() >= mostClients() * 5 / 6; // the platform's own stay below that
     }
 
     private void sweep() {
@@ -457,7 +484,7 @@
             return;
         }
         exchange.setStatusCode(status);
-        if (leaving) {
+        if (leaving || clients.size() > mostClients() + CROSSING) {
             exchange.setPersistent(false);
         }
         exchange.getResponseHeaders().put(Headers.CONTENT_LENGTH, Integer.toString(body.length));
--- a/src/main/java/cypressglade/lab/ProcessFleet.java
+++ b/src/main/java/cypressglade/lab/ProcessFleet.java
@@ -326,6 +326,11 @@
         }
     }
 
+    /** Does at once what a line of a script says, whatever its time; false as for a step. */
+    public boolean act(String line) throws IOException, FaultScript.Unusable {
+        return act(FaultScript.parse("line", line, slots.size()).steps().get(0));
+    }
+
     /**
      * Does what a step of a script says; false where it expects something that does not come in time. A step
      * about processes waits until it is done.
--- a/src/main/java/cypressglade/net/Loop.java
+++ b/src/main/java/cypressglade/net/Loop.java
@@ -40,6 +40,7 @@
 
     private final XnioWorker worker;
     private final XnioIoThread io;
+    private Duration lateness = Duration.ZERO;
     final ByteBuffer input = ByteBuffer.allocateDirect(BUFFER);
 
     public Loop() throws IOException {
@@ -53,6 +54,16 @@
         return worker;
     }
 
+    /** How late this thread came to what was due, on average lately; on this thread. */
+    public Duration lateness() {
+        return lateness;
+    }
+
+    /** Told by whoever looks at it, on this thread. */
+    public void late(Duration mean) {
+        lateness = mean;
+    }
+
     public void execute(Runnable task) {
         try {
             io.execute(task);
--- a/src/main/java/cypressglade/net/NodePool.java
+++ b/src/main/java/cypressglade/net/NodePool.java
@@ -151,6 +151,7 @@
         private Loop.Dial dial;
         private Wire wire;
         private XnioExecutor.Key limit;
+        private Instant opened = Time.now();
         private boolean begun;
         private int heard;
         private boolean over;
@@ -210,6 +211,7 @@
         }
 
         private void open() {
+            opened = Time.now();
             Optional<InetSocketAddress> address = directory.ready(node).flatMap(this::address);
             if (address.isEmpty()) {
                 holdBack(Status.CONNECT_FAILED);
@@ -352,7 +354,8 @@
             } else if (dial != null) {
                 dial.cancel();
             }
-            Ending ending = Ending.read(status, answer(), told());
+            Duration took = Duration.between(opened, Time.now()).minus(loop.lateness());
+            Ending ending = Ending.read(status, answer(), told(), took.isNegative() ? Duration.ZERO : took);
             over();
             ended.accept(ending);
         }
--- a/src/test/java/cypressglade/fleet/FleetViewMeasure.java
+++ b/src/test/java/cypressglade/fleet/FleetViewMeasure.java
@@ -1,6 +1,5 @@
 package cypressglade.fleet;
 
-import cypressglade.lab.FaultScript;
 import cypressglade.lab.Faults;
 import cypressglade.lab.MemberLab;
 import cypressglade.lab.ProcessFleet;
@@ -113,7 +112,7 @@
 
     private static Found real(int size) {
         try (ProcessFleet fleet = new ProcessFleet(Files.createTempDirectory("fleet"), size, TIMING.period(), size)) {
-            links(fleet, DELAY);
+            fleet.act(DELAY);
             fleet.startAll(size);
             List<Long> detect = new ArrayList<>();
             List<Long> heal = new ArrayList<>();
@@ -129,13 +128,13 @@
                     .mapToObj(victim -> CompletableFuture.runAsync(() -> start(fleet, victim)))
                     .toArray(CompletableFuture[]::new)).get();
             settle(fleet);
-            links(fleet, "0s cut " + numbers(0, size * 2 / 5) + " " + numbers(size * 2 / 5, size));
+            fleet.act("0s cut " + numbers(0, size * 2 / 5) + " " + numbers(size * 2 / 5, size));
             fleet.pass(SPLIT);
             fleet.hub().change(Faults::mend);
             long healed = System.currentTimeMillis();
             heal.add(fleet.oneView(WAIT) - healed);
             settle(fleet);
-            links(fleet, "0s loss * * " + LOSS);
+            fleet.act("0s loss * * " + LOSS);
             from = System.currentTimeMillis();
             long before = sent(fleet);
             fleet.stall(1);
@@ -171,9 +170,4 @@
     private static String numbers(int from, int to) {
         return String.join(",", IntStream.range(from, to).mapToObj(Integer::toString).toList());
     }
-
-    private static void links(ProcessFleet fleet, String line) throws FaultScript.Unusable {
-        FaultScript.Step step = FaultScript.parse("measure", line, fleet.size()).steps().get(0);
-        fleet.hub().change(faults -> FaultScript.apply(step, faults));
-    }
 }
--- a/src/test/java/cypressglade/fleet/FleetViewTest.java
+++ b/src/test/java/cypressglade/fleet/FleetViewTest.java
@@ -2,7 +2,6 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import cypressglade.lab.FaultScript;
 import cypressglade.lab.Faults;
 import cypressglade.lab.ProcessFleet;
 import cypressglade.member.Member.State;
@@ -35,7 +34,7 @@
     @BeforeAll
     void start() throws Exception {
         fleet = new ProcessFleet(folder, 6, PERIOD, 11); // the sixth place is for who comes later
-        links("0s delay * * 1ms..20ms");
+        fleet.act("0s delay * * 1ms..20ms");
         fleet.startAll(5);
     }
 
@@ -49,11 +48,6 @@
         assertThat(fleet.oneView(WAIT)).as(fleet.text()).isPositive();
     }
 
-    private void links(String line) throws Exception {
-        FaultScript.Step step = FaultScript.parse("test", line, 6).steps().get(0);
-        fleet.hub().change(faults -> FaultScript.apply(step, faults));
-    }
-
     /** The time now; what is logged from here on is after it. */
     private static long now() {
         return System.currentTimeMillis();
@@ -88,7 +82,7 @@
     @Test
     void aSplitOfTwoAndThreeSettlesOnEachSideAndHealsToOneView() throws Exception {
         long cut = now();
-        links("0s cut 0,1 2,3,4");
+        fleet.act("0s cut 0,1 2,3,4");
         for (String name : List.of("m-2", "m-3", "m-4")) {
             assertThat(fleet.held(List.of(0, 1), name, State.DEAD, WAIT) - cut).as(fleet.text())
                     .isBetween(0L, BOUNDS.split(2).plus(BUSY).toMillis());
@@ -109,7 +103,7 @@
     @Test
     void aLinkThatIsCutOneWayCostsNobody() throws Exception {
         long cut = now();
-        links("0s cut-one-way 1 2");
+        fleet.act("0s cut-one-way 1 2");
         fleet.pass(BOUNDS.detect());
         assertThat(fleet.deaths(cut)).as(fleet.text()).isEmpty();
         fleet.hub().change(Faults::mend);
@@ -119,7 +113,7 @@
     @Test
     void aDeafMemberIsLostAloneAndComesBack() throws Exception {
         long cut = now();
-        links("0s cut-one-way 0,1,2,4 3");
+        fleet.act("0s cut-one-way 0,1,2,4 3");
         assertThat(fleet.held(List.of(0, 1, 2, 4), "m-3", State.DEAD, WAIT)).as(fleet.text()).isPositive();
         assertThat(fleet.deaths(cut)).filteredOn(event -> event.seenBy() != 3)
                 .allMatch(event -> event.name().equals("m-3"));
@@ -143,10 +137,10 @@
     @Test
     void aTenthLostOnEveryLinkForAMinuteKillsNobody() throws Exception {
         long from = now();
-        links("0s loss * * 0.1");
+        fleet.act("0s loss * * 0.1");
         fleet.pass(Duration.ofSeconds(60));
         assertThat(fleet.deaths(from)).as(fleet.text()).isEmpty();
-        links("0s loss * * 0");
+        fleet.act("0s loss * * 0");
     }
 
     /** Another process under a name in use is refused with a line that says so, and the holder keeps its name. */
--- a/src/test/java/cypressglade/share/FleetLimitsMeasure.java
+++ b/src/test/java/cypressglade/share/FleetLimitsMeasure.java
@@ -65,7 +65,7 @@
         rig.surge(3, 12, LimitRig.VOLUME, "basic", 0);
         rig.surge(4, 12, LimitRig.VOLUME, "basic", 0);
         long cut = System.nanoTime();
-        rig.links("0s cut 0,1 2,3,4");
+        rig.fleet.act("0s cut 0,1 2,3,4");
         rig.fleet.pass(SPLIT);
         figures.say("agreed_among_of_three", rig.agreed(3));
         figures.say("used_split", rig.used(cut));
@@ -77,7 +77,7 @@
     }
 
     private void verdicts(LimitRig rig) throws Exception {
-        rig.links("0s loss * * 0.1");
+        rig.fleet.act("0s loss * * 0.1");
         Random random = new Random(5);
         List<Long> spread = new ArrayList<>();
         for (int i = 0; i < VERDICTS; i++) {
--- a/src/test/java/cypressglade/share/FleetLimitsTest.java
+++ b/src/test/java/cypressglade/share/FleetLimitsTest.java
@@ -41,7 +41,7 @@
         rig.surge(4, 8, LimitRig.VOLUME, "basic", 0);
         rig.fleet.pass(Duration.ofSeconds(4));
         long cut = System.nanoTime();
-        rig.links("0s cut 0,1 2,3,4");
+        rig.fleet.act("0s cut 0,1 2,3,4");
         assertThat(rig.agree(3, 2, 3, 4)).as(rig.fleet.text()).isTrue();
         assertThat(rig.agreed(0)).as("two of five agree on nothing").isZero();
         rig.fleet.pass(Duration.ofSeconds(3));
@@ -88,7 +88,7 @@
 
     @Test
     void aVerdictGivenDuringAOneWayCutIsSeenEverywhereAndOutlivesARestart() throws Exception {
-        rig.links("0s cut-one-way 1 0,2,3,4"); // nobody hears member 1
+        rig.fleet.act("0s cut-one-way 1 0,2,3,4"); // nobody hears member 1
         assertThat(rig.fleet.call(1, "exclude s-1")).startsWith("200");
         assertThat(rig.fleet.call(1, "evacuate")).startsWith("200");
         assertThat(rig.holds(1, "node s-1", "exclude")).isTrue();
--- a/src/test/java/cypressglade/share/LimitRig.java
+++ b/src/test/java/cypressglade/share/LimitRig.java
@@ -1,6 +1,5 @@
 package cypressglade.share;
 
-import cypressglade.lab.FaultScript;
 import cypressglade.lab.ProcessFleet;
 import cypressglade.standin.HttpPeer;
 import cypressglade.standin.Site;
@@ -60,15 +59,10 @@
                 .replace("\"balancers\":1", "\"balancers\":" + MEMBERS)
                 .replace("\"neverOver\":1,\"limitBurst\":8", "\"neverOver\":" + RATE + ",\"limitBurst\":" + BURST),
                 Optional.of(TERMS));
-        links("0s delay * * 1ms..20ms");
+        fleet.act("0s delay * * 1ms..20ms");
         fleet.startAll(MEMBERS);
     }
 
-    void links(String line) throws FaultScript.Unusable {
-        FaultScript.Step step = FaultScript.parse("limits", line, MEMBERS).steps().get(0);
-        fleet.hub().change(faults -> FaultScript.apply(step, faults));
-    }
-
     /** How many members the parts of a member are agreed among now; 0 where all have floors. */
     int agreed(int member) throws IOException {
         return fleet.view(member).path("limits").path("agreed_among").asInt();
