Let the module decide as before to the last digit where nothing is shared

Causes, found by undoing one at a time: (1) Volume.forgotten looked at the limit last, and so no longer brought each volume up to now before the mean of what they ask beyond; (2) a refusal that was over, no longer swept at once, could be taken for a first try where two keys of its table meet (a hot key, two classes); (3) a product with 1/heads rounds otherwise than a division by heads. Now (1) in its order again, (2) what is over does not count, (3) parts are told as those of one of so many heads.

--- a/src/main/java/cypressglade/core/Brain.java
+++ b/src/main/java/cypressglade/core/Brain.java
@@ -340,7 +340,7 @@
         }
         for (int step = -1; step <= 1; step++) {
             Held before = turnedAway.remove(held.print(step));
-            if (before != null) {
+            if (before != null && before.expiry >= now) {
                 held.firstTry = before.firstTry;
                 break;
             }
@@ -915,7 +915,7 @@
                 double paced = Math.max(averagePace / warmth, answers < FIRST_ANSWERS ? 0 : pace(now));
                 all = Math.max(all, COLD_PART * limits.overloadFactor() * limits.fallUs() / paced);
             }
-            double room = all * parts.node(now, address, 1.0 / settings.heads());
+            double room = all / parts.nodeHeads(now, address, settings.heads());
             if (parts == Parts.EVEN && room < settings.mostUnits()) {
                 double seen = DEMAND_US * (1 - Math.exp(-(now - bornAt + limits.fallUs()) / DEMAND_US));
                 double demand = asked / seen * limits.fallUs() * settings.heads() / shards.size();
@@ -947,11 +947,11 @@
             // The store fills from the start of the instance, not from the first request. It starts with its
             // part of the slack, so that what a restart spends twice stays within that.
             double filled = plan.limitSlack() + (now - bornAt) / US * plan.limitRate();
-            limit = Math.min(plan.limitBurst(), filled) * parts.least(1.0 / heads);
+            limit = Math.min(plan.limitBurst(), filled) / parts.leastHeads(heads);
         }
 
-        double limitPart(long now) {
-            return parts.volume(now, id, 1.0 / heads);
+        double limitHeads(long now) {
+            return parts.volumeHeads(now, id, heads);
         }
 
         /** This head's part of what the volume gets: by the meter where there is one. */
@@ -965,8 +965,8 @@
             refilledAt = now;
             double full = part() * plan.reserveRate() + (plan.reserveRate() > 0 ? settings.mostUnits() : 0);
             reserve = Math.min(full, reserve + passed * part() * plan.reserveRate());
-            double shared = limitPart(now);
-            limit = Math.min(plan.limitBurst() * shared, limit + passed * plan.limitRate() * shared);
+            double among = limitHeads(now);
+            limit = Math.min(plan.limitBurst() / among, limit + passed * plan.limitRate() / among);
             double kept = Math.exp(-passed * US / RATE_US);
             excess *= kept;
             servedHere *= kept;
@@ -976,10 +976,10 @@
             return excess / Math.max(plan.weight(), Double.MIN_NORMAL);
         }
 
-        /** Idle for long and with a full store of the limit: it would come back the same. */
+        /** Brings it up to now. Idle for long and with a full store of the limit it would come back alike. */
         boolean forgotten(long now) {
-            return pending <= 0 && now - askedAt > IDLE_US
-                    && limitWait(now, plan.limitBurst() * limitPart(now)) <= 0;
+            return limitWait(now, plan.limitBurst() / limitHeads(now)) <= 0 && pending <= 0
+                    && now - askedAt > IDLE_US;
         }
 
         void meter(int percent) {
@@ -991,7 +991,7 @@
         /** How long until the store of the limit holds so many units. */
         double limitWait(long now, double units) {
             refill(now);
-            return plan.limitRate() <= 0 ? 0 : (units - limit) / limitPart(now) / plan.limitRate() * US;
+            return plan.limitRate() <= 0 ? 0 : (units - limit) * limitHeads(now) / plan.limitRate() * US;
         }
     }
 
--- a/src/main/java/cypressglade/core/Scheduler.java
+++ b/src/main/java/cypressglade/core/Scheduler.java
@@ -156,21 +156,23 @@
         /** Nothing is shared: the even part that the module reckons itself holds. */
         public static final Parts EVEN = new Parts(Map.of(), Map.of(), 0, 0, 0);
 
-        double volume(long nowUs, long volume, double even) {
-            return of(volumes, nowUs, volume, even, rest);
+        /** A part of a volume's limit as that of one of so many heads; {@code even} where none is shared. */
+        double volumeHeads(long nowUs, long volume, int even) {
+            return heads(volumes, nowUs, volume, even, rest);
         }
 
-        double node(long nowUs, long node, double even) {
-            return of(nodes, nowUs, node, even, least);
+        /** The same of what a cold node bears. */
+        double nodeHeads(long nowUs, long node, int even) {
+            return heads(nodes, nowUs, node, even, least);
         }
 
         /** Of what is not known yet: whatever others have spent, so much is this head's. */
-        double least(double even) {
-            return this == EVEN ? even : least;
+        double leastHeads(int even) {
+            return this == EVEN ? even : 1 / least;
         }
 
-        private double of(Map<Long, Double> told, long nowUs, long key, double even, double other) {
-            return this == EVEN ? even : nowUs >= untilUs ? least : told.getOrDefault(key, other);
+        private double heads(Map<Long, Double> told, long nowUs, long key, int even, double other) {
+            return this == EVEN ? even : 1 / (nowUs >= untilUs ? least : told.getOrDefault(key, other));
         }
 
         /** The same where so many processes stand for this head, each of which takes as much. */
