--- a/src/test/java/cypressglade/peer/PeersTest.java
+++ b/src/test/java/cypressglade/peer/PeersTest.java
@@ -15,10 +15,14 @@
 import cypressglade.member.Message.Kind;
 import cypressglade.member.News;
 import cypressglade.member.Timing;
+import cypressglade.share.Notice;
+import cypressglade.share.Terms;
+import cypressglade.share.Verdicts.Verdict;
 import cypressglade.standin.HttpPeer;
 import cypressglade.standin.Site;
 import cypressglade.standin.StandIn;
 import cypressglade.standin.StorageNode;
+import java.util.Set;
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
 import java.io.IOException;
@@ -328,4 +332,31 @@
         }
         assertThatThrownBy(() -> PeerReport.of(at, KeyRing.parse("k", steps.get(0)))).isInstanceOf(IOException.class);
     }
+
+    /** A verdict counts with a key of the ring and a name of the roster; without the first it is not even read. */
+    @Test
+    void aVerdictOfAStrangersKeyOrNameIsTurnedAway() throws Exception {
+        PeersConfig.Talk plain = talking("a", LONG).talk().orElseThrow();
+        Site site = site(new PeersConfig("a", Optional.of(new PeersConfig.Talk(plain.listen(), plain.advertised(),
+                plain.seeds(), keys, plain.refresh(), true, plain.timing(), true, Optional.of(new Terms(
+                        Set.of("a", "h"), 0.25, 2, Duration.ofSeconds(1))))), Optional.empty(), 100, LONG));
+        Hand hand = new Hand(site);
+        hand.send(hand.ping(keys, 0, 1));
+        long life = Codec.envelope(Sealed.open(keys, hand.next())).from();
+        long refused = count(site, Name.PEER_REFUSED);
+        hand.send(verdict(KeyRing.parse("w", "1 " + "0c".repeat(32)), life, 2, "h", "s-0"));
+        Site.await(() -> count(site, Name.PEER_REFUSED) == refused + 1);
+        hand.send(verdict(keys, life, 3, "x", "s-0"));
+        Site.await(() -> report(site).figures().get("shared_turned_away") == 1);
+        assertThat(report(site).figures()).containsEntry("verdicts_held", 0L);
+        assertThat(ask(site, 0)).isEqualTo(200);
+        hand.send(verdict(keys, life, 4, "h", "s-0"));
+        Site.await(() -> report(site).figures().get("verdicts_held") == 1);
+        assertThat(ask(site, 0)).as("its node is excluded now").isEqualTo(503);
+    }
+
+    private static byte[] verdict(KeyRing with, long life, long number, String by, String node) {
+        return Sealed.seal(with, Codec.bytes(new Envelope(77, life, number, Optional.empty(), Optional.of(new Notice(0,
+                Map.of(), List.of(), List.of(new Verdict("node " + node, "exclude", Instant.now(), by, 1)))))));
+    }
 }
