--- a/src/main/java/cypressglade/cli/Doorway.java
+++ b/src/main/java/cypressglade/cli/Doorway.java
@@ -24,7 +24,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
-import java.util.function.BooleanSupplier;
+import java.util.function.Predicate;
 
 /**
  * What the operators' door acts on in a running scheduler: bans, kept in a directory that an upgrade shares
@@ -34,6 +34,7 @@
 final class Doorway implements Door.Acts, AutoCloseable {
     private static final System.Logger LOG = System.getLogger(Doorway.class.getName());
     private static final String COMING = "coming.";
+    private static final String SERVING = "takes clients";
 
     /** What the door may turn in the scheduler. */
     interface Scheduler {
@@ -109,22 +110,7 @@
             if (lock == null && (lock = tryLock()) != null) {
                 Files.deleteIfExists(mark);
             }
-            boolean newcomer = false;
-            try (DirectoryStream<Path> marks = Files.newDirectoryStream(directory, COMING + "*")) {
-                for (Path other : marks) {
-                    String name = other.getFileName().toString();
-                    long pid = Long.parseLong(name.substring(COMING.length(), name.lastIndexOf('.')));
-                    if (other.equals(mark)) {
-                        continue;
-                    }
-                    if (ProcessHandle.of(pid).isPresent()) {
-                        newcomer = true;
-                    } else {
-                        Files.deleteIfExists(other); // of one that died while it started
-                    }
-                }
-            }
-            int now = Handover.processes(lock != null, newcomer);
+            int now = Handover.processes(lock != null, newcomer(other -> true));
             if (now != processes) {
                 processes = now;
                 LOG.log(Level.INFO, "processes serving as this scheduler: {0}", now);
@@ -135,10 +121,56 @@
         }
     }
 
+    /** Whether another process that lives has left a mark, and one of that kind. */
+    private boolean newcomer(Predicate<Path> kind) throws IOException {
+        boolean found = false;
+        try (DirectoryStream<Path> marks = Files.newDirectoryStream(directory, COMING + "*")) {
+            for (Path other : marks) {
+                String name = other.getFileName().toString();
+                long pid = Long.parseLong(name.substring(COMING.length(), name.lastIndexOf('.')));
+                if (other.equals(mark)) {
+                    continue;
+                }
+                if (ProcessHandle.of(pid).isPresent()) {
+                    found |= kind.test(other);
+                } else {
+                    Files.deleteIfExists(other); // of one that died while it started
+                }
+            }
+        }
+        return found;
+    }
+
     void start() {
         server.start();
     }
 
+    /** This process takes clients from now on: one that it relieves may see that in its mark. */
+    void serving() {
+        try {
+            if (Files.exists(mark)) {
+                Files.writeString(mark, SERVING, StandardOpenOption.TRUNCATE_EXISTING);
+            }
+        } catch (IOException full) {
+            LOG.log(Level.WARNING, "the process beside will not see that this one serves", full);
+        }
+    }
+
+    /** Whether a process beside this one takes clients on the same port; from any thread. */
+    boolean relieved() {
+        try {
+            return newcomer(other -> {
+                try {
+                    return Files.readString(other).equals(SERVING);
+                } catch (IOException gone) {
+                    return false; // it was relieved itself, or has ended, since the look at the directory
+                }
+            });
+        } catch (IOException | NumberFormatException unusable) {
+            return false;
+        }
+    }
+
     InetSocketAddress address() {
         return server.address();
     }
--- a/src/main/java/cypressglade/cli/Serve.java
+++ b/src/main/java/cypressglade/cli/Serve.java
@@ -158,6 +158,7 @@
         }
         door.ifPresent(Doorway::start);
         clients.start(config.listen());
+        door.ifPresent(Doorway::serving);
         ready = true;
     }
 
@@ -229,7 +230,8 @@
     /**
      * Stops as a planned restart wants it. Clients go on using the connections that they have, and whoever
      * would come through a stopped scheduler is lost: so it serves for as long as it is sure not to be
-     * killed, and all that was taken is answered first.
+     * killed, and all that was taken is answered first. Where an upgrade's next process takes clients on the
+     * same port, new connections are left to that one at once.
      */
     public void drain() throws InterruptedException {
         Instant told = Time.now();
@@ -238,6 +240,9 @@
                 .map(Micros::span).max(Duration::compareTo).orElse(Duration.ZERO);
         Instant served = told.plus(longest.compareTo(MOST_COUNTED) < 0 ? longest : MOST_COUNTED)
                 .plus(BEFORE_THE_KILL);
+        if (door.filter(Doorway::relieved).isPresent()) {
+            clients.leavePort();
+        }
         blockClients.ifPresent(NbdListener::leave);
         clients.answerBy(served);
         Thread.sleep(Time.until(told.plus(SERVE_ON)).toMillis());
--- a/src/main/java/cypressglade/http/ClientListener.java
+++ b/src/main/java/cypressglade/http/ClientListener.java
@@ -74,6 +74,8 @@
     private static final Duration LAST_LOOK = Duration.ofMillis(2);
     /** From an answer to a request that is not read to the close, which may overtake the answer. */
     private static final Duration LINGER = Duration.ofMillis(100);
+    /** For those in the backlog to be accepted before the listener closes. */
+    private static final Duration LAST_ACCEPTS = Duration.ofMillis(20);
     /** When a connection may make way for others: one that was used, and one that never said anything. */
     private static final Duration RESTED = Duration.ofSeconds(1);
     private static final Duration SILENT = Duration.ofMillis(100);
@@ -105,6 +107,7 @@
     private int atOnce = Integer.MAX_VALUE;
     private Instant last = Instant.MAX;
     private boolean leaving;
+    private boolean portLeft;
 
     /** A client connection: since when nothing is open on it, and what room its body takes while it comes. */
     private static final class Client {
@@ -159,19 +162,23 @@
         Instant now = Time.now();
         int next = intake.look(Duration.between(due, now), clients.size(), budget.clientConnections());
         loop.late(intake.lateness());
-        if (next != atOnce) {
+        if (next != atOnce && !portLeft) {
             atOnce = next;
-            try {
-                listening.bound(atOnce + CROSSING);
-            } catch (IOException closed) {
-                LOG.log(System.Logger.Level.WARNING, "the bound on clients stays", closed);
-            }
+            bound(atOnce + CROSSING);
         }
         Duration wait = clients.size() < LEAST_CLIENTS ? SWEEP : PACE; // few are never too many
         Instant then = now.plus(wait);
         loop.after(wait, () -> pace(then));
     }
 
+    private void bound(int most) {
+        try {
+            listening.bound(most);
+        } catch (IOException closed) {
+            LOG.log(System.Logger.Level.WARNING, "the bound on clients stays", closed);
+        }
+    }
+
     /** Clients that are worked on at once: by the budget, and fewer where this thread runs late. */
     private int mostClients() {
         return Math.min(atOnce, budget.clientConnections());
@@ -204,6 +211,19 @@
         });
     }
 
+    /**
+     * Takes no new connection any more, as another process listens on the same port. Who waits to be accepted
+     * is taken first: a listener that closes resets those. At the program's end it would be too late, as new
+     * ones come by the hundreds once each answer ends its connection.
+     */
+    public void leavePort() {
+        loop.execute(() -> {
+            portLeft = true;
+            bound(budget.clientConnections() + CROSSING);
+            loop.after(LAST_ACCEPTS, listening::close);
+        });
+    }
+
     /** Undoes {@link #leave}: answers keep their connections again, and idle ones stay. */
     public void stay() {
         loop.execute(() -> leaving = false);
--- a/src/test/java/cypressglade/cli/UpgradeTest.java
+++ b/src/test/java/cypressglade/cli/UpgradeTest.java
@@ -70,15 +70,57 @@
         return DoorCall.call(new InetSocketAddress("127.0.0.1", door), line);
     }
 
+    /** Guards against connections that the old process takes and does not live to serve. */
+    @Test
+    void aProcessThatIsRelievedLeavesThePortAtOnce() throws Exception {
+        InetSocketAddress clients = new InetSocketAddress("127.0.0.1", freePort());
+        Path config = config(clients.getPort());
+        serve(config, freePort());
+        serve(config, freePort());
+        Process old = started.get(0);
+        old.destroy();
+        int inTurn = 0;
+        int lost = 0;
+        while (inTurn < 50 && old.isAlive()) { // while both listen, half of the answers come from the old one
+            try {
+                inTurn = health(clients).startsWith("HTTP/1.1 200 ") ? inTurn + 1 : 0;
+            } catch (IOException reset) {
+                lost++;
+            }
+        }
+        assertThat(inTurn).as("new connections that the next process took, one after another").isEqualTo(50);
+        assertThat(old.isAlive()).as("the old process still serves those that it has").isTrue();
+        assertThat(lost).as("of one connection at a time, in the moment in which the listener closes")
+                .isLessThanOrEqualTo(1);
+    }
+
+    private static String health(InetSocketAddress address) throws IOException {
+        try (Socket socket = new Socket(address.getAddress(), address.getPort())) {
+            socket.setSoTimeout(5000);
+            socket.getOutputStream().write("GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n".getBytes(
+                    StandardCharsets.US_ASCII));
+            String first = new BufferedReader(new InputStreamReader(socket.getInputStream(),
+                    StandardCharsets.US_ASCII)).readLine();
+            if (first == null) {
+                throw new IOException("no answer");
+            }
+            return first;
+        }
+    }
+
+    private Path config(int clients) throws IOException {
+        return Files.writeString(folder.resolve("config.json"),
+                Files.readString(Path.of("deploy/config.example.json"))
+                        .replace("\"listen\":\"127.0.0.1:0\"", "\"listen\":\"127.0.0.1:" + clients + "\"")
+                        .replace("127.0.0.1:8500", "127.0.0.1:" + freePort()));
+    }
+
     @Test
     void twoProcessesListenOnOnePortAndTheSecondKeepsTheBan() throws Exception {
         int clients = freePort();
         int firstDoor = freePort();
         int secondDoor = freePort();
-        Path config = Files.writeString(folder.resolve("config.json"),
-                Files.readString(Path.of("deploy/config.example.json"))
-                        .replace("\"listen\":\"127.0.0.1:0\"", "\"listen\":\"127.0.0.1:" + clients + "\"")
-                        .replace("127.0.0.1:8500", "127.0.0.1:" + freePort()));
+        Path config = config(clients);
         serve(config, firstDoor);
         assertThat(call(firstDoor, "readyz")).startsWith("200 ");
         assertThat(call(firstDoor, "exclude s-0")).startsWith("200 excluded s-0");
