Refuse a reload that lost a key of the configuration in force, and name the key

Seen: of the 65 keys of the example, a reload without settings.rules, settings.balancers, a plan's name or a class's effect was taken, and each counted as 0, as none, or as the default: without rules.coldFrom a cold node is not guarded, without a plan's name its clients get 400. Change: config.Keys; a reload has to have every key of the one in force, and each entry of a list what all entries had in common.

--- a/src/main/java/cypressglade/cli/Reload.java
+++ b/src/main/java/cypressglade/cli/Reload.java
@@ -39,6 +39,7 @@
         }
         try {
             Config next = source.read();
+            next.checkAfter(scheduler.config());
             scheduler.use(next, source.readFiles(next));
             scheduler.counters().add(Counters.Name.RELOADS);
             LOG.log(System.Logger.Level.INFO, "reloaded: discovery at {0}", next.discovery());
--- a/src/main/java/cypressglade/cli/Serve.java
+++ b/src/main/java/cypressglade/cli/Serve.java
@@ -210,6 +210,11 @@
         this.files = files;
     }
 
+    /** The configuration in force. */
+    public Config config() {
+        return config;
+    }
+
     public InetSocketAddress address() {
         return clients.address();
     }
--- a/src/main/java/cypressglade/config/Config.java
+++ b/src/main/java/cypressglade/config/Config.java
@@ -17,7 +17,7 @@
 /** What a scheduler is told at its start, out of config.json. */
 public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, NodeList known,
         Settings settings, Duration connectTimeout, Duration idleLimit, NodeListParser nodeLists,
-        Budget budget, Optional<InetSocketAddress> operator) {
+        Budget budget, Optional<InetSocketAddress> operator, Keys keys) {
     private static final String SETTINGS = "settings.";
     private static final Duration DEFAULT_CONNECT = Duration.ofMillis(250);
     private static final Duration DEFAULT_IDLE = Duration.ofSeconds(30);
@@ -34,7 +34,7 @@
     /** The same, listening elsewhere. */
     public Config on(InetSocketAddress other) {
         return new Config(name, other, discovery, known, settings, connectTimeout, idleLimit, nodeLists,
-                budget, operator);
+                budget, operator, keys);
     }
 
     /**
@@ -49,7 +49,20 @@
         }
         Values values = new Values("$ROUTER_OPERATOR", Map.of("operator", variable.strip()));
         return new Config(name, listen, discovery, known, settings, connectTimeout, idleLimit, nodeLists,
-                budget, Optional.of(values.address("operator")));
+                budget, Optional.of(values.address("operator")), keys);
+    }
+
+    /**
+     * Whether this may take the place of what is in force.
+     *
+     * @throws ConfigException where it lacks a key that the other has
+     */
+    public void checkAfter(Config inForce) throws ConfigException {
+        Optional<String> lost = inForce.keys.lostIn(keys);
+        if (lost.isPresent()) {
+            throw new ConfigException(lost.get() + " is missing, which the configuration in force has: put it"
+                    + " back, or restart to go without it");
+        }
     }
 
     static byte[] bytes(Path path) throws ConfigException {
@@ -94,7 +107,7 @@
                 new Budget(limit(values, "limits.memory_mb", LEAST_MEMORY, DEFAULT_MEMORY),
                         limit(values, "limits.sockets", LEAST_SOCKETS, DEFAULT_SOCKETS)),
                 values.text("operator", "").isEmpty() ? Optional.empty()
-                        : Optional.of(values.address("operator")));
+                        : Optional.of(values.address("operator")), new Keys(all));
     }
 
     /**
--- a/src/test/java/cypressglade/cli/MainTest.java
+++ b/src/test/java/cypressglade/cli/MainTest.java
@@ -7,6 +7,7 @@
 import java.io.PrintStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import cypressglade.standin.HttpPeer;
 import org.junit.jupiter.api.Test;
@@ -81,14 +82,16 @@
                     file.toString()).redirectErrorStream(true).start();
             try (var lines = process.inputReader()) {
                 assertThat(one.requests.poll(20, TimeUnit.SECONDS).first()).contains("index=41");
-                Files.writeString(file, "{");
-                hangUp(process);
-                assertThat(lines.lines().anyMatch(line -> line.contains("the old configuration stays"))).isTrue();
+                for (String broken : List.of("{", text.replace("\"coldFrom\":0.29,", ""))) {
+                    Files.writeString(file, broken);
+                    hangUp(process);
+                    assertThat(lines.lines().anyMatch(line -> line.contains("the old configuration stays"))).isTrue();
+                }
                 Files.writeString(file, text.replace("127.0.0.1:8500", two.hostPort()));
                 hangUp(process);
                 assertThat(two.requests.poll(20, TimeUnit.SECONDS).first()).contains("index=0");
                 process.toHandle().destroy();
-                assertThat(lines.lines()).contains("reloads 1", "reloads_rejected 1");
+                assertThat(lines.lines()).contains("reloads 1", "reloads_rejected 2");
                 assertThat(process.waitFor()).isZero();
             } finally {
                 process.destroyForcibly();
--- a/src/test/java/cypressglade/config/ConfigTest.java
+++ b/src/test/java/cypressglade/config/ConfigTest.java
@@ -88,6 +88,34 @@
                 .isInstanceOf(ConfigException.class).hasMessageContaining("c.json");
     }
 
+    /** Guards against limits turned off by a file that lost the key of one. */
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', textBlock = """
+            "rules":{"stopSendingWithinUs":500000,"coldFrom":0.29,"rampTimeUs":17000000,"overloadFactor":2.0,"fallUs":1000000}, | '' | settings.rules.
+            "coldFrom":0.29, | '' | settings.rules.coldFrom
+            "balancers":1, | '' | settings.balancers
+            "name":"standard", | '' | settings.plans.1.name
+            "effect":"read_like", | '' | settings.categories.0.effect
+            "limits":{"cores":1.0,"memory_mb":192,"sockets":1024}, | '' | limits.
+            """)
+    void aReloadMayNotLoseAKey(String key, String to, String path) throws Exception {
+        Config inForce = config("", "");
+        Config lost = config(key, to);
+        assertThatThrownBy(() -> lost.checkAfter(inForce)).isInstanceOf(ConfigException.class)
+                .hasMessageContaining(path).hasMessageContaining("is missing");
+        inForce.checkAfter(lost);
+    }
+
+    @Test
+    void aReloadMayAddAndDropClassesAndValues() throws Exception {
+        Config inForce = config("", "");
+        config("\"attemptsCap\":3", "\"attemptsCap\":1").checkAfter(inForce);
+        config("{\"name\":\"job-write\"", "{\"name\":\"job-more\",\"effect\":\"idempotency_key\",\"keyTtlUs\":1,"
+                + "\"objectiveUs\":1,\"deadlineUs\":1,\"worth\":1,\"lateWorth\":0},{\"name\":\"job-write\"")
+                .checkAfter(inForce);
+        config("\"version\":41", "\"version\":42").checkAfter(inForce);
+    }
+
     /** Guards against sizes that hold on one day only: 256 descriptors were used up where 1,024 were taken for granted. */
     @ParameterizedTest
     @CsvSource({"192, 1024, 256", "128, 256, 170", "96, 384, 128"})
