Ask what to do about storms before the module and when it refuses; off in run

core.Gate puts requests into the terms of package storm on the engine's thread; first tries always go to the module. A refusal's advice may be made later than the module's, never earlier; while the instance damps, further attempts of our own are kept within a budget by the settings that the module is handed. Writes in doubt get 502 and are not sent, over reloads, and over restarts by a file that says 'running' until a stop in order.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
 CONFIG ?= deploy/config.example.json
 
-.PHONY: build test lint run clean measure-learning measure-console measure-fleet-view measure-fleet-limits
+.PHONY: build test lint run clean measure-learning measure-console measure-fleet-view measure-fleet-limits \
+	measure-storms
 
 define measure
 mvn -q -B test-compile
@@ -33,5 +34,8 @@
 measure-fleet-limits:
 	$(call measure,cypressglade.share.FleetLimitsMeasure)
 
+measure-storms:
+	$(call measure,cypressglade.storm.StormMeasure)
+
 clean:
 	mvn -q clean
--- a/src/main/java/cypressglade/cli/Main.java
+++ b/src/main/java/cypressglade/cli/Main.java
@@ -10,6 +10,7 @@
 import cypressglade.config.ControlConfigParser;
 import cypressglade.config.NbdConfigParser;
 import cypressglade.config.PeersConfigParser;
+import cypressglade.config.StormsConfigParser;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStream;
@@ -64,10 +65,14 @@
         @Parameter(names = "--console", description = "the file of the control socket; off without it")
         private String console = "deploy/console.json";
 
+        @Parameter(names = "--storms", description = "the file on retry storms; off without it")
+        private String storms = "deploy/storms.json";
+
         @Override
         public OperatorFiles readFiles(Config scheduler) throws ConfigException {
             return new OperatorFiles(NbdConfigParser.read(Path.of(nbd), scheduler.settings()),
-                    PeersConfigParser.read(Path.of(peers)), ControlConfigParser.read(Path.of(console)));
+                    PeersConfigParser.read(Path.of(peers)), ControlConfigParser.read(Path.of(console)),
+                    StormsConfigParser.read(Path.of(storms)));
         }
 
         @Override
@@ -130,7 +135,8 @@
                             + config.known().entries().size() + " nodes known, NBD "
                             + files.nbd().map(nbd -> "on " + nbd.listen()).orElse("off") + ", peers "
                             + files.peers().map(PeersCommand::summary).orElse("off") + ", control socket "
-                            + files.control().map(control -> control.socket().toString()).orElse("off"));
+                            + files.control().map(control -> control.socket().toString()).orElse("off")
+                            + ", storms " + (files.storms().isPresent() ? "on" : "off"));
                     return check.start && !starts(config, out) ? FAILED : OK;
                 }
                 case "version" -> {
--- a/src/main/java/cypressglade/cli/Rehearsal.java
+++ b/src/main/java/cypressglade/cli/Rehearsal.java
@@ -23,6 +23,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -97,7 +98,7 @@
             engine.told(new NodeList(1, true, List.of(new NodeList.Entry("rehearsal", config.listen(), 0,
                     0, 0, State.READY, 1, Instant.EPOCH))));
             ClientListener clients = new ClientListener(loop, config.settings(), engine, counters, pool,
-                    nodes, () -> true, config.budget());
+                    nodes, () -> true, config.budget(), Optional.empty());
             for (int i = 0; i < LANES; i++) {
                 loop.execute(() -> new Lane(loop.pipe(clients::accept)));
             }
--- a/src/main/java/cypressglade/cli/Serve.java
+++ b/src/main/java/cypressglade/cli/Serve.java
@@ -22,6 +22,8 @@
 import cypressglade.peer.Peers;
 import cypressglade.peer.PeersConfig;
 import cypressglade.share.Verdicts.Verdict;
+import cypressglade.storm.Terms;
+import cypressglade.storm.Waves;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
@@ -65,6 +67,7 @@
     private final Optional<Peers> peers;
     private final Optional<Control> control;
     private final Optional<Doorway> door;
+    private final Optional<DoubtFile> doubts;
     private final AtomicLong evacuations = new AtomicLong();
     private volatile boolean ready;
     private volatile boolean evacuated;
@@ -74,7 +77,9 @@
         this.files = files;
         loop = new Loop();
         NodeDirectory directory = new NodeDirectory();
-        engine = new Engine(config.settings(), directory, counters);
+        engine = new Engine(config.settings(), directory, counters, files.storms());
+        doubts = files.storms().flatMap(Terms::doubtDirectory).map(DoubtFile::new);
+        doubts.ifPresent(kept -> kept.open(engine));
         pool = new RequestPool(config.budget().requests(), STACK_BYTES, counters);
         connections = new NodePool(loop, directory, counters, config.connectTimeout(),
                 config.idleLimit(), config.budget().nodeConnections());
@@ -119,7 +124,8 @@
                 counters);
         discovery.start();
         clients = new ClientListener(loop, config.settings(), engine, counters, pool, nodes,
-                () -> ready && !evacuated, config.budget());
+                () -> ready && !evacuated, config.budget(),
+                files.storms().map(terms -> new Waves(terms.connects(), Time.now())));
         blockClients = files.nbd().isEmpty() ? Optional.empty() : Optional.of(new NbdListener(loop,
                 files.nbd().get(), config.settings(), engine, directory, counters, pool, nbdNodes.get()));
     }
@@ -203,6 +209,7 @@
         if (!next.listen().equals(config.listen()) || files.nbd().isPresent() != blockClients.isPresent()
                 || files.peers().isPresent() != peers.isPresent()
                 || files.control().isPresent() != control.isPresent()
+                || !files.storms().equals(this.files.storms())
                 || next.budget().memoryMb() != config.budget().memoryMb()) {
             LOG.log(System.Logger.Level.WARNING, "listeners and the heap change with a restart only");
         }
@@ -259,6 +266,7 @@
             Thread.sleep(LOOK.toMillis());
         }
         Thread.sleep(SETTLE.toMillis());
+        doubts.ifPresent(kept -> kept.close(engine));
         peers.ifPresent(Peers::close);
         control.ifPresent(Control::close);
         door.ifPresent(Doorway::close);
--- a/src/main/java/cypressglade/config/PeersConfigParser.java
+++ b/src/main/java/cypressglade/config/PeersConfigParser.java
@@ -64,8 +64,8 @@
         if (talk.isEmpty() && snapshots.isEmpty()) {
             throw values.bad("enabled", "is true, but there is neither listen nor snapshot_dir");
         }
-        return new PeersConfig(name, talk, snapshots, (int) whole("most_nodes", 1, MOST_NODES, 1024),
-                Duration.ofMillis(whole("start_wait_ms", 0, MOST_WAIT_MS, 200)));
+        return new PeersConfig(name, talk, snapshots, (int) values.whole("most_nodes", 1, MOST_NODES, 1024),
+                Duration.ofMillis(values.whole("start_wait_ms", 0, MOST_WAIT_MS, 200)));
     }
 
     private Talk talk() throws ConfigException {
@@ -88,10 +88,10 @@
         Path keyFile = directory.resolve(values.text("key_file"));
         try {
             return new Talk(listen, advertised, List.copyOf(seeds), KeyRing.read(keyFile),
-                    Duration.ofSeconds(whole("refresh_s", 1, MOST_SPAN_S, 5)),
+                    Duration.ofSeconds(values.whole("refresh_s", 1, MOST_SPAN_S, 5)),
                     values.flag("share_cold", "true"),
                     Timing.every(Duration.ofMillis(
-                            whole("period_ms", LEAST_PERIOD_MS, MOST_PERIOD_MS, 1000))),
+                            values.whole("period_ms", LEAST_PERIOD_MS, MOST_PERIOD_MS, 1000))),
                     values.flag("view", "false"), terms());
         } catch (IOException unusable) {
             throw values.bad("key_file", "cannot be used: " + unusable.getMessage());
@@ -115,8 +115,8 @@
         if (!(floor > 0 && floor <= 1)) {
             throw values.bad("floor", "is not over 0 and at most 1");
         }
-        return Optional.of(new Terms(roster, floor, (int) whole("lag", 1, MOST_LAG, LAG),
-                Duration.ofMillis(whole("window_ms", LEAST_PERIOD_MS, MOST_PERIOD_MS, WINDOW_MS))));
+        return Optional.of(new Terms(roster, floor, (int) values.whole("lag", 1, MOST_LAG, LAG),
+                Duration.ofMillis(values.whole("window_ms", LEAST_PERIOD_MS, MOST_PERIOD_MS, WINDOW_MS))));
     }
 
     private Snapshots snapshots() throws ConfigException {
@@ -125,11 +125,7 @@
             throw values.bad("snapshot_dir", "is no directory that this program may write to; make it with: "
                     + "mkdir -p -m 700 " + kept);
         }
-        return new Snapshots(kept, Duration.ofSeconds(whole("snapshot_every_s", 1, MOST_SPAN_S, 10)),
-                Duration.ofSeconds(whole("snapshot_most_age_s", 1, MOST_SPAN_S, 120)));
-    }
-
-    private long whole(String path, long least, long most, long otherwise) throws ConfigException {
-        return values.text(path, "").isEmpty() ? otherwise : values.whole(path, least, most);
+        return new Snapshots(kept, Duration.ofSeconds(values.whole("snapshot_every_s", 1, MOST_SPAN_S, 10)),
+                Duration.ofSeconds(values.whole("snapshot_most_age_s", 1, MOST_SPAN_S, 120)));
     }
 }
--- a/src/main/java/cypressglade/config/Values.java
+++ b/src/main/java/cypressglade/config/Values.java
@@ -58,6 +58,11 @@
         throw bad(path, "is not a whole number from " + least + " to " + most);
     }
 
+    /** The same; {@code otherwise} where it is not there. */
+    long whole(String path, long least, long most, long otherwise) throws ConfigException {
+        return text(path, "").isEmpty() ? otherwise : whole(path, least, most);
+    }
+
     int count(String path) throws ConfigException {
         return values.containsKey(path + ".count") ? (int) whole(path + ".count", 0, Integer.MAX_VALUE) : 0;
     }
--- a/src/main/java/cypressglade/core/Engine.java
+++ b/src/main/java/cypressglade/core/Engine.java
@@ -8,6 +8,7 @@
 import cypressglade.core.Scheduler.Outcome;
 import cypressglade.core.Scheduler.Settings;
 import cypressglade.core.Scheduler.Status;
+import cypressglade.storm.Terms;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Comparator;
@@ -26,6 +27,7 @@
  */
 public final class Engine implements AutoCloseable {
     private static final float[] NO_LOAD = {};
+    private static final Duration GATE_LOOK = Duration.ofMillis(100);
     private static final System.Logger LOG = System.getLogger(Engine.class.getName());
 
     private final Mailbox<Runnable> events = new Mailbox<>();
@@ -36,6 +38,10 @@
     private final Counters counters;
     private final Scheduler scheduler;
     private final Duration coldSpan;
+    private final Optional<Terms> storms;
+    private final Optional<Gate> gate;
+    private Instant gateLook = Instant.MAX;
+    private boolean saving;
     private Settings settings;
     private Share share = new Share(0, 0);
     private final Asked asked = new Asked();
@@ -78,10 +84,17 @@
     }
 
     public Engine(Settings settings, NodeDirectory directory, Counters counters) {
+        this(settings, directory, counters, Optional.empty());
+    }
+
+    /** The same, with what is done about storms of second tries; off without. */
+    public Engine(Settings settings, NodeDirectory directory, Counters counters, Optional<Terms> storms) {
         this.directory = directory;
         this.counters = counters;
         this.settings = settings;
         this.coldSpan = Micros.span(settings.limits().fallUs());
+        this.storms = storms;
+        this.gate = storms.map(terms -> new Gate(terms, settings, coldSpan, counters, Time.now()));
         this.scheduler = new Brain(now(), settings, new Orders());
         thread.setDaemon(true);
     }
@@ -89,13 +102,30 @@
     /** Starts the thread; {@code links} names the link by which a node is probed. */
     public void start(LongFunction<NodeLink<?>> links) {
         prober = probe -> links.apply(probe.node).probe(probe.node, probe::ended);
+        gate.ifPresent(any -> gateLook = Time.now());
         thread.start();
     }
 
+    /**
+     * Takes the writes that were in doubt in the former life, or nothing where those are not known; to be
+     * called before the doors open.
+     *
+     * @throws IllegalArgumentException where these are no such bytes
+     */
+    public void doubts(Optional<byte[]> former) {
+        gate.ifPresent(kept -> kept.doubts(former, Time.now())); // before the thread starts, which owns it
+    }
+
+    /** Writes in doubt, for the next life; handed over on the engine's thread. */
+    public void doubts(Consumer<byte[]> seen) {
+        gate.ifPresent(kept -> post(() -> seen.accept(kept.doubts(Time.now()))));
+    }
+
     /** Takes new settings; what is open goes on under what it was taken with. */
     public void use(Settings next) {
         post(() -> {
             settings = next;
+            gate.ifPresent(kept -> kept.use(next));
             scheduler.use(inForce());
         });
     }
@@ -152,7 +182,7 @@
     }
 
     private Settings inForce() {
-        Settings shared = share.of(settings);
+        Settings shared = saving ? Gate.budget(share.of(settings), storms.orElseThrow()) : share.of(settings);
         return beside == 1 ? shared : shared.among(shared.rank(), shared.heads() * beside);
     }
 
@@ -183,6 +213,10 @@
 
     void taken(RequestLife<?> life, IoRequest request) {
         post(() -> {
+            if (gate.isPresent() && gate.get().stops(life, request, Time.now())) {
+                save();
+                return;
+            }
             life.id = ++lastId;
             open.put(life.id, life);
             Scheduler.Request taken = request.toModule(life.id, beside);
@@ -191,6 +225,15 @@
         });
     }
 
+    /** Follows the weather with the budget of further attempts. */
+    private void save() {
+        boolean next = gate.filter(Gate::saving).isPresent();
+        if (next != saving) {
+            saving = next;
+            scheduler.use(inForce());
+        }
+    }
+
     private boolean limited(Scheduler.Request request) {
         return request.plan() < settings.plans().size()
                 && settings.plans().get(request.plan()).limitRate() > 0;
@@ -205,8 +248,14 @@
         Told told = ending.told();
         post(() -> {
             life.ended++;
+            life.mayHaveRun |= status.mayHaveRun;
             if (over) {
                 open.remove(life.id);
+                if (status == Status.OK) {
+                    gate.ifPresent(kept -> kept.served(life, Time.now()));
+                } else {
+                    gate.ifPresent(kept -> kept.neverRan(life));
+                }
             }
             scheduler.outcome(now(), new Outcome(life.id, attempt, node, status, Micros.of(latency), over,
                     told.used(), told.byOthers(), told.load()));
@@ -220,6 +269,7 @@
     void withdrawn(RequestLife<?> life, boolean attemptOut) {
         post(() -> {
             open.remove(life.id);
+            gate.ifPresent(kept -> kept.givenUp(life, attemptOut, Time.now()));
             scheduler.withdrawn(now(), life.id);
             if (!attemptOut && life.ordered > life.ended) {
                 scheduler.outcome(now(), new Outcome(life.id, life.ordered - 1, life.node, Status.MOOT, 0,
@@ -241,13 +291,19 @@
             try {
                 Timer first = timers.peek();
                 Duration wait = first == null ? Mailbox.LONGEST : Time.until(first.due());
-                Optional<Runnable> event = events.poll(wait);
+                Duration look = gate.isEmpty() ? Mailbox.LONGEST : Time.until(gateLook);
+                Optional<Runnable> event = events.poll(look.compareTo(wait) < 0 ? look : wait);
                 if (event.isPresent() && !closing) { // it may win against the interrupt that ends the wait
                     event.get().run();
                 }
                 while (!timers.isEmpty() && Time.until(timers.peek().due()).isZero()) {
                     scheduler.timer(now(), timers.poll().token());
                 }
+                if (gate.isPresent() && Time.until(gateLook).isZero()) {
+                    gateLook = Time.now().plus(GATE_LOOK);
+                    gate.get().look(scheduler.views(now()), Time.now());
+                    save();
+                }
             } catch (InterruptedException end) {
                 return;
             } catch (RuntimeException fault) {
@@ -272,12 +328,16 @@
             RequestLife<?> life = open.get(requestId);
             life.ordered++;
             life.node = node;
+            life.firstSent = life.firstSent == null ? Time.now() : life.firstSent;
             life.signal(new RequestLife.Send(node, Micros.span(timeoutUs)));
         }
 
         @Override
         public void refuse(long requestId, long retryAfterUs) {
-            finish(requestId, new RequestLife.Refuse(Micros.span(retryAfterUs)));
+            RequestLife<?> life = open.get(requestId);
+            Duration advice = Micros.span(retryAfterUs);
+            finish(requestId, new RequestLife.Refuse(life == null || gate.isEmpty() ? advice
+                    : gate.get().refused(life, advice, Time.now())));
         }
 
         @Override
@@ -320,7 +380,10 @@
 
         private void finish(long requestId, RequestLife.Signal signal) {
             tell(requestId, signal);
-            open.remove(requestId);
+            RequestLife<?> life = open.remove(requestId);
+            if (life != null) {
+                gate.ifPresent(kept -> kept.givenUp(life, false, Time.now()));
+            }
         }
     }
 }
--- a/src/main/java/cypressglade/core/RequestLife.java
+++ b/src/main/java/cypressglade/core/RequestLife.java
@@ -4,6 +4,7 @@
 import cypressglade.core.NodeLink.Attempt;
 import cypressglade.core.NodeLink.Ending;
 import cypressglade.core.Scheduler.Status;
+import cypressglade.storm.Try;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.concurrent.atomic.AtomicReference;
@@ -33,6 +34,10 @@
     long node;
     int ordered;
     int ended;
+    // The same for its gate, where there is one.
+    Try asTry;
+    Instant firstSent;
+    boolean mayHaveRun;
 
     /** Waits for the module's word without a thread, works on one, or has its answer. */
     private enum Phase { WAITING, WORKING, OVER }
--- a/src/main/java/cypressglade/core/Scheduler.java
+++ b/src/main/java/cypressglade/core/Scheduler.java
@@ -212,7 +212,14 @@
             boolean retryAfter, long maxRetryAfterUs, long stopSendingWithinUs, long askWithinUs,
             boolean budget, double freeResends, double furtherRatio, long budgetWindowUs, double coldFrom,
             long rampUs, double overloadFactor, long fallUs, double youngUnits, long turnGapUs,
-            int streams) { }
+            int streams) {
+
+        Limits within(double free, double ratio, long windowUs) {
+            return budget ? this : new Limits(attempts, cancel, probes, peers, secondCopies, retryAfter,
+                    maxRetryAfterUs, stopSendingWithinUs, askWithinUs, true, free, ratio, windowUs, coldFrom,
+                    rampUs, overloadFactor, fallUs, youngUnits, turnGapUs, streams);
+        }
+    }
 
     /** The settings given at start; {@code probePrice} is what a probe costs, in mean requests' worth. */
     record Settings(long seed, int rank, int heads, int zone, boolean listOnRequest, long tickUs,
@@ -223,6 +230,13 @@
             return classes.stream().map(RequestClass::name).toList();
         }
 
+        /** The same with a budget of further attempts, of which what is there already is kept to. */
+        Settings within(double freeResends, double furtherRatio, long windowUs) {
+            return new Settings(seed, rank, heads, zone, listOnRequest, tickUs, classes, plans, loadNames,
+                    limits.within(freeResends, furtherRatio, windowUs), meanUnits, mostUnits, fairWorth,
+                    spareWorth, meterUs, tellsOthers, probePrice);
+        }
+
         /** The same for one instance of a tier of another size. */
         public Settings among(int newRank, int newHeads) {
             return new Settings(seed, newRank, newHeads, zone, listOnRequest, tickUs, classes, plans,
--- a/src/main/java/cypressglade/http/ClientListener.java
+++ b/src/main/java/cypressglade/http/ClientListener.java
@@ -13,6 +13,7 @@
 import cypressglade.core.Time;
 import cypressglade.net.Loop;
 import cypressglade.storm.Intake;
+import cypressglade.storm.Waves;
 import io.undertow.Handlers;
 import io.undertow.UndertowOptions;
 import io.undertow.connector.PooledByteBuffer;
@@ -104,7 +105,10 @@
     private int receiving;
     private int answering;
     private final Intake intake = new Intake(LEAST_CLIENTS, LATE);
+    private final Optional<Waves> waves;
+    private int came; // connections, since the last look at how they come
     private int atOnce = Integer.MAX_VALUE;
+    private int acceptedAtOnce = Integer.MAX_VALUE;
     private Instant last = Instant.MAX;
     private boolean leaving;
     private boolean portLeft;
@@ -131,7 +135,8 @@
     }
 
     public ClientListener(Loop loop, Settings settings, Engine engine, Counters counters, RequestPool pool,
-            NodeLink<HttpWork> link, BooleanSupplier ready, Budget budget) {
+            NodeLink<HttpWork> link, BooleanSupplier ready, Budget budget, Optional<Waves> waves) {
+        this.waves = waves;
         this.loop = loop;
         this.engine = engine;
         this.counters = counters;
@@ -160,13 +165,21 @@
     /** Looks at how late this thread runs, and accepts no more than it can work on in time. */
     private void pace(Instant due) {
         Instant now = Time.now();
-        int next = intake.look(Duration.between(due, now), clients.size(), budget.clientConnections());
+        atOnce = intake.look(Duration.between(due, now), clients.size(), budget.clientConnections());
         loop.late(intake.lateness());
-        if (next != atOnce && !portLeft) {
-            atOnce = next;
-            bound(atOnce + CROSSING);
+        int accepted = atOnce;
+        if (waves.isPresent()) { // it paces those who come, and turns away none who are here
+            int more = waves.get().look(came, now);
+            accepted = more == Integer.MAX_VALUE ? atOnce
+                    : Math.min(atOnce, clients.size() - CROSSING + more);
+            came = 0;
         }
-        Duration wait = clients.size() < LEAST_CLIENTS ? SWEEP : PACE; // few are never too many
+        if (accepted != acceptedAtOnce && !portLeft) {
+            acceptedAtOnce = accepted;
+            bound(accepted + CROSSING);
+        }
+        // Few are never too many; but a wave may begin with any number.
+        Duration wait = clients.size() < LEAST_CLIENTS && waves.isEmpty() ? SWEEP : PACE;
         Instant then = now.plus(wait);
         loop.after(wait, () -> pace(then));
     }
@@ -189,7 +202,8 @@
         loop.execute(() -> {
             parser = new RequestParser(settings);
             budget = next;
-            atOnce = Integer.MAX_VALUE; // the next look bounds it anew
+            acceptedAtOnce = Integer.MAX_VALUE; // the next look bounds it anew
+            atOnce = Integer.MAX_VALUE;
         });
     }
 
@@ -237,6 +251,7 @@
 
     /** Takes a new connection, on the I/O thread. */
     public void accept(StreamConnection connection) {
+        came++;
         clients.put(connection, new Client(connection));
         makeRoom();
         http.handleEvent(connection);
--- a/src/main/java/cypressglade/http/RequestParser.java
+++ b/src/main/java/cypressglade/http/RequestParser.java
@@ -20,6 +20,8 @@
 final class RequestParser {
     static final HttpString TRACE_ID = new HttpString("X-Trace-Id");
     static final HttpString KEY = new HttpString("Idempotency-Key");
+    private static final long FNV_BASIS = 0xcbf29ce484222325L;
+    private static final long FNV_PRIME = 0x100000001b3L;
     private static final HttpString TIER = new HttpString("Tier");
     private static final HttpString EXPIRES = new HttpString("X-Expires-In-Ms");
     private static final HttpString IO_INFO = new HttpString("IO-Info");
@@ -93,7 +95,20 @@
         return new IoRequest(info.get("shard").intValue(), classes.get(parts.group(1)), plan,
                 info.get("hosts").intValue(), "1".equals(headers.getFirst(SECOND_TRY)), method.equals("PUT"),
                 hex(parts.group(2)), hex(parts.group(3)), info.get("units"),
-                arrived.plusMillis(left - Math.min(MARGIN.toMillis(), left / MARGIN_PART)));
+                arrived.plusMillis(left - Math.min(MARGIN.toMillis(), left / MARGIN_PART)),
+                token(headers.getFirst(KEY)));
+    }
+
+    /** A number that stands for a key, by FNV-1a of 64 bits; 0 for none. */
+    private static long token(String key) {
+        if (key == null) {
+            return 0;
+        }
+        long hash = FNV_BASIS;
+        for (int i = 0; i < key.length(); i++) {
+            hash = (hash ^ key.charAt(i)) * FNV_PRIME;
+        }
+        return hash == 0 ? 1 : hash;
     }
 
     /** Where a body ends must be plain: a request that can be read in two ways may hide another. */
--- a/src/test/java/cypressglade/standin/StandIn.java
+++ b/src/test/java/cypressglade/standin/StandIn.java
@@ -63,11 +63,17 @@
         }
     }
 
-    @Override
-    public void close() throws IOException {
-        server.close();
+    /** Ends all connections that are open. */
+    protected final void breakAll() throws IOException {
         for (Socket socket : sockets) {
             socket.close();
         }
+        sockets.removeIf(Socket::isClosed);
+    }
+
+    @Override
+    public void close() throws IOException {
+        server.close();
+        breakAll();
     }
 }
