Take a reset for no end of an answer without a length

Ruled out: answers with a length or in chunks (the parser wants their end), bytes of an earlier answer on a reused connection (Idle discards them). Lines at fault: Wire.read and Wire.broken, NodePool.Exchange.ended. Wire tells the two apart now (ended, broke); a reset is Status.RESET for an exchange, and an end as before for every other listener. Test: NodeClientTest.onlyAnOrderlyEndEndsAnAnswerWithoutALength, "expected RESET but was OK" without the change.

--- a/src/main/java/cypressglade/net/NodePool.java
+++ b/src/main/java/cypressglade/net/NodePool.java
@@ -328,6 +328,12 @@
             end(readToEnd().orElseGet(() -> written(Status.RESET)));
         }
 
+        /** Guards against the cut part of an answer without a length being served as the whole of it. */
+        @Override
+        public final void broke() {
+            end(written(Status.RESET));
+        }
+
         /** Work whose last byte was not written has never run; after that it may have. */
         private Status written(Status status) {
             return begun && wire.unsent() > 0 ? Status.CONNECT_FAILED : status;
--- a/src/main/java/cypressglade/net/Wire.java
+++ b/src/main/java/cypressglade/net/Wire.java
@@ -24,9 +24,17 @@
         /** Bytes came; what is left in the buffer is lost. A failure breaks the wire. */
         void received(ByteBuffer in) throws IOException;
 
-        /** The other side ended or the wire broke; told once, and not after {@link Wire#close}. */
+        /** The other side ended its sending; told once, and not after {@link Wire#close}. */
         void ended();
 
+        /**
+         * The wire broke instead, as by a reset: that ends nothing whole, as what would have come next is not
+         * known. Told once, in place of {@link #ended}.
+         */
+        default void broke() {
+            ended();
+        }
+
         /** All that had to wait for the socket is written. */
         default void sent() { }
     }
@@ -114,8 +122,8 @@
                 blocked = false;
                 loop.execute(listener::sent);
             }
-        } catch (IOException broken) {
-            loop.execute(this::broken);
+        } catch (IOException reset) {
+            loop.execute(() -> over(listener::broke));
         }
     }
 
@@ -129,24 +137,24 @@
                     return;
                 }
                 if (got < 0) {
-                    broken();
+                    over(listener::ended);
                     return;
                 }
                 listener.received(input.flip());
             }
-        } catch (IOException broken) {
-            broken();
+        } catch (IOException reset) {
+            over(listener::broke);
         }
     }
 
-    private void broken() {
+    private void over(Runnable told) {
         if (!closed) {
             connection.getSourceChannel().suspendReads();
             connection.getSinkChannel().suspendWrites();
             closed = true;
             output.clear();
             IoUtils.safeClose(connection);
-            listener.ended();
+            told.run();
         }
     }
 }
--- a/src/test/java/cypressglade/http/NodeClientTest.java
+++ b/src/test/java/cypressglade/http/NodeClientTest.java
@@ -12,6 +12,7 @@
 import cypressglade.net.Loop;
 import cypressglade.net.NodePool;
 import cypressglade.standin.HttpPeer;
+import cypressglade.standin.StandIn;
 import java.io.IOException;
 import java.time.Duration;
 import java.time.Instant;
@@ -20,6 +21,8 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** What a node's answer tells beside itself reaches the module, as the simulator's wire would tell it. */
 class NodeClientTest {
@@ -69,4 +72,15 @@
         assertThat(ending.told().used()).isZero();
         assertThat(ending.told().load()).isEmpty();
     }
+
+    /** An answer with no length is whole where its connection ends, and not where that is reset. */
+    @ParameterizedTest
+    @CsvSource({"false,OK", "true,RESET"})
+    void onlyAnOrderlyEndEndsAnAnswerWithoutALength(boolean reset, Status status) throws Exception {
+        Ending ending = exchange((request, out) -> {
+            HttpPeer.write(out, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf of the entry");
+            throw reset ? new StandIn.Reset() : new IOException("the end");
+        });
+        assertThat(ending.status()).isEqualTo(status);
+    }
 }
--- a/src/test/java/cypressglade/standin/StandIn.java
+++ b/src/test/java/cypressglade/standin/StandIn.java
@@ -18,6 +18,11 @@
     private final ServerSocket server;
     private final Queue<Socket> sockets = new ConcurrentLinkedQueue<>();
 
+    /** Thrown by what it speaks, to end a connection as a dying process does. */
+    public static final class Reset extends Exception {
+        private static final long serialVersionUID = 1;
+    }
+
     protected StandIn() {
         try {
             server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
@@ -57,7 +62,11 @@
 
     private void serve(Socket socket) {
         try (socket) {
-            talk(new DataInputStream(socket.getInputStream()), new DataOutputStream(new BufferedOutputStream(socket.getOutputStream())));
+            try {
+                talk(new DataInputStream(socket.getInputStream()), new DataOutputStream(new BufferedOutputStream(socket.getOutputStream())));
+            } catch (Reset reset) {
+                socket.setSoLinger(true, 0);
+            }
         } catch (Exception over) {
             // the other side left, or the script ends the connection
         }
