Decide in one place whether a request may begin at a node, and let none begin for nobody

Cause, found by reading: an attempt whose connection was still coming up ran on when its client left, and so began up to 250 ms after the close; one that was ordered before the leave but not begun as well. A slow connection also carried its request to the address that a node had before it moved; an idle connection to the process before a node's restart was used (it may have died without a word); and one that was taken and held back counted its rest anew, past the node's own idle time. Lines at fault: NodePool.Exchange.begin, NodePool.takeIdle, NodePool.Idle.since, RequestLife.attempt. Change: Exchange.heldBack is asked before a dial and just before the first byte: time left, client there, node ready and at the same address. RequestLife tells by a flag that is set as the client leaves, on both fronts. Idle connections know when bytes last went either way, and when their node started. Tests: NodePoolTest (client leaves, or node moves, while a connection comes up; nobody waits; node restarted), RequestLifeTest.anAttemptIsWantedNoMoreAsSoonAsItsClientLeaves.

--- a/src/main/java/cypressglade/core/NodeDirectory.java
+++ b/src/main/java/cypressglade/core/NodeDirectory.java
@@ -5,6 +5,7 @@
 import cypressglade.core.Scheduler.NodeView;
 import cypressglade.core.Scheduler.State;
 import java.net.InetSocketAddress;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -20,8 +21,8 @@
  * number given to its id here. The links ask here before the first byte of an attempt.
  */
 public final class NodeDirectory {
-    /** A node that is in the list. */
-    public record Known(String id, InetSocketAddress address, int cell, State state) { }
+    /** A node that is in the list, and since when it runs. */
+    public record Known(String id, InetSocketAddress address, int cell, State state, Instant started) { }
 
     private final Map<String, Long> numbers = new HashMap<>();
     private final Map<Long, Known> nodes = new HashMap<>();
@@ -36,7 +37,8 @@
         for (NodeList.Entry entry : list.entries()) {
             long number = numbers.computeIfAbsent(entry.id(), id -> ++lastNumber);
             named.add(number);
-            nodes.put(number, new Known(entry.id(), entry.address(), entry.cell(), entry.state()));
+            nodes.put(number, new Known(entry.id(), entry.address(), entry.cell(), entry.state(),
+                    entry.started()));
             entries.add(new NodeEntry(number, entry.zone(), entry.state(), entry.cell(), entry.weight(),
                     Micros.of(entry.started()), entry.kind()));
         }
--- a/src/main/java/cypressglade/core/NodeLink.java
+++ b/src/main/java/cypressglade/core/NodeLink.java
@@ -3,15 +3,16 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
 /** A front's way to the storage nodes; none of its methods blocks. */
 public interface NodeLink<W> {
     /**
      * Starts one attempt. Its end comes exactly once, at {@code until} at the latest; by then the connection
-     * no longer carries it.
+     * no longer carries it. It begins at the node only if it is {@code wanted} just before its first byte.
      */
-    Attempt send(long node, W work, Instant until, Consumer<Ending> ended);
+    Attempt send(long node, W work, Instant until, BooleanSupplier wanted, Consumer<Ending> ended);
 
     /** Asks a node for a sign of life. */
     void probe(long node, Consumer<Ending> ended);
--- a/src/main/java/cypressglade/core/RequestLife.java
+++ b/src/main/java/cypressglade/core/RequestLife.java
@@ -27,7 +27,8 @@
     private final Mailbox<Signal> signals = new Mailbox<>();
     private final AtomicReference<Phase> phase = new AtomicReference<>(Phase.WAITING);
     private RequestPool pool;
-    private boolean gone;
+    private boolean gone; // as the request's own task has heard
+    private volatile boolean left; // as it is, for an attempt that has not begun
 
     // The engine's alone: the number that the module knows the request by, and what was ordered and ended.
     long id;
@@ -97,8 +98,9 @@
         }
     }
 
-    /** The client went away: the module hears of it and nothing is answered. */
+    /** The client went away: the module hears of it, nothing is answered, and nothing begins any more. */
     public void clientGone() {
+        left = true;
         signal(new Gone());
     }
 
@@ -165,7 +167,7 @@
         if (!send.limit().isZero() && sent.plus(send.limit()).isBefore(until)) {
             until = sent.plus(send.limit());
         }
-        Attempt out = link.send(send.node(), work, until, ending -> signal(new Ended(ending)));
+        Attempt out = link.send(send.node(), work, until, () -> !left, ending -> signal(new Ended(ending)));
         while (true) {
             Signal signal = await(Instant.MAX);
             if (signal instanceof Ended end) {
@@ -173,7 +175,7 @@
             } else if (signal instanceof Cancel) {
                 out.abandon();
             } else if (signal instanceof Gone) {
-                gone = true; // the attempt runs on: what becomes of it still tells of its node
+                gone = true; // an attempt that has begun runs on: what becomes of it still tells of its node
                 engine.withdrawn(this, true);
             }
         }
--- a/src/main/java/cypressglade/http/NodeClient.java
+++ b/src/main/java/cypressglade/http/NodeClient.java
@@ -13,6 +13,7 @@
 import java.time.Instant;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Function;
 
@@ -48,14 +49,15 @@
     }
 
     @Override
-    public Attempt send(long node, HttpWork work, Instant until, Consumer<Ending> ended) {
-        return new HttpExchange(node, work::message, until, ended).start();
+    public Attempt send(long node, HttpWork work, Instant until, BooleanSupplier wanted,
+            Consumer<Ending> ended) {
+        return new HttpExchange(node, work::message, until, wanted, ended).start();
     }
 
     @Override
     public void probe(long node, Consumer<Ending> ended) {
         Instant until = Time.now().plus(NodePool.PROBE_LIMIT);
-        new HttpExchange(node, left -> HttpWork.probe(), until, ended).start();
+        new HttpExchange(node, left -> HttpWork.probe(), until, () -> true, ended).start();
     }
 
     private final class HttpExchange extends NodePool.Exchange {
@@ -64,8 +66,8 @@
         private final ResponseParser parser = new ResponseParser(this::take, MOST_BODY);
 
         HttpExchange(long node, Function<Duration, List<ByteBuffer>> message, Instant until,
-                Consumer<Ending> ended) {
-            pool.super(node, until, ended);
+                BooleanSupplier wanted, Consumer<Ending> ended) {
+            pool.super(node, until, wanted, ended);
             this.message = message;
         }
 
--- a/src/main/java/cypressglade/nbd/NbdNodeLink.java
+++ b/src/main/java/cypressglade/nbd/NbdNodeLink.java
@@ -13,6 +13,7 @@
 import java.time.Instant;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
 /** Storage nodes that are NBD servers, one command at a time on each connection. */
@@ -39,12 +40,13 @@
     }
 
     @Override
-    public Attempt send(long node, NbdWork work, Instant until, Consumer<Ending> ended) {
+    public Attempt send(long node, NbdWork work, Instant until, BooleanSupplier wanted,
+            Consumer<Ending> ended) {
         if (work.onlyNode() != NbdWork.ANY_NODE && work.onlyNode() != node) {
             ended.accept(Ending.of(Status.MOOT)); // the node that wrote is not there any more
             return () -> { };
         }
-        return new Command(node, work, until, ended).start();
+        return new Command(node, work, until, wanted, ended).start();
     }
 
     @Override
@@ -56,8 +58,9 @@
     private abstract class NbdExchange extends NodePool.Exchange {
         private final NbdConfig.Export export;
 
-        NbdExchange(long node, NbdConfig.Export export, Instant until, Consumer<Ending> ended) {
-            pool.super(node, until, ended);
+        NbdExchange(long node, NbdConfig.Export export, Instant until, BooleanSupplier wanted,
+                Consumer<Ending> ended) {
+            pool.super(node, until, wanted, ended);
             this.export = export;
         }
 
@@ -82,8 +85,8 @@
         private final ReplyParser parser;
         private final long cookie;
 
-        Command(long node, NbdWork work, Instant until, Consumer<Ending> ended) {
-            super(node, work.export(), until, ended);
+        Command(long node, NbdWork work, Instant until, BooleanSupplier wanted, Consumer<Ending> ended) {
+            super(node, work.export(), until, wanted, ended);
             this.work = work;
             synchronized (NbdNodeLink.this) {
                 cookie = ++lastCookie;
@@ -115,7 +118,8 @@
     /** A sign of life: a whole handshake, after which the connection is left in the proper way. */
     private final class Handshake extends NbdExchange {
         Handshake(long node, Consumer<Ending> ended) {
-            super(node, config.exports().get(0), Time.now().plus(NodePool.PROBE_LIMIT), ended);
+            super(node, config.exports().get(0), Time.now().plus(NodePool.PROBE_LIMIT),
+                    () -> true, ended);
         }
 
         @Override
--- a/src/main/java/cypressglade/nbd/Transmission.java
+++ b/src/main/java/cypressglade/nbd/Transmission.java
@@ -18,6 +18,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
 /** The commands of one client on one export, each answered once. Runs on the I/O thread. */
@@ -323,8 +324,9 @@
         }
 
         @Override
-        public Attempt send(long node, NbdWork work, Instant until, Consumer<Ending> ended) {
-            return front.link().send(node, work, until, ending -> {
+        public Attempt send(long node, NbdWork work, Instant until, BooleanSupplier wanted,
+                Consumer<Ending> ended) {
+            return front.link().send(node, work, until, wanted, ending -> {
                 if (work.type() == Nbd.CMD_WRITE && ending.status().mayHaveRun) {
                     written.add(new Reached(shard, node)); // ends come on the I/O thread
                 }
--- a/src/main/java/cypressglade/net/NodePool.java
+++ b/src/main/java/cypressglade/net/NodePool.java
@@ -19,6 +19,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.xnio.XnioExecutor;
 
@@ -70,12 +71,13 @@
         private final Wire wire;
         private final String use;
         private final long node;
-        private final Instant since = Time.now();
+        private final Instant since;
 
         Idle(Wire wire, String use, long node) {
             this.wire = wire;
             this.use = use;
             this.node = node;
+            since = wire.used(); // one that was taken and not used has rested all along, as its node counts it
         }
 
         @Override
@@ -95,17 +97,25 @@
         }
     }
 
-    private Optional<Wire> takeIdle(String use) {
+    /**
+     * An idle connection that is still of use: not one that its node may have closed by now, nor one to the
+     * process that ran before the node's last start, which may be dead without a word.
+     */
+    private Optional<Wire> takeIdle(String use, Instant nodeStarted) {
         ArrayDeque<Idle> kept = idle.getOrDefault(use, new ArrayDeque<>());
+        Instant oldest = Time.now().minus(idleLimit);
         while (!kept.isEmpty()) {
-            Wire wire = kept.pollLast().wire;
-            if (wire.quiet()) {
-                return Optional.of(wire);
+            Idle last = kept.pollLast();
+            if (last.since.isBefore(oldest) || last.since.isBefore(nodeStarted)) {
+                close(last.wire);
+            } else if (last.wire.quiet()) {
+                return Optional.of(last.wire);
+            } else {
+                // Guards against bytes behind an answer that are here but not heard of yet: they would be taken
+                // for the next answer.
+                counters.add(Counters.Name.STRAY_BYTES);
+                close(last.wire);
             }
-            // Guards against bytes behind an answer that are here but not heard of yet: they would be taken
-            // for the next answer.
-            counters.add(Counters.Name.STRAY_BYTES);
-            close(wire);
         }
         return Optional.empty();
     }
@@ -146,6 +156,7 @@
     public abstract class Exchange implements Wire.Listener {
         private final long node;
         private final Instant until;
+        private final BooleanSupplier wanted;
         private final Consumer<Ending> ended;
         private String use;
         private Loop.Dial dial;
@@ -156,9 +167,10 @@
         private int heard;
         private boolean over;
 
-        protected Exchange(long node, Instant until, Consumer<Ending> ended) {
+        protected Exchange(long node, Instant until, BooleanSupplier wanted, Consumer<Ending> ended) {
             this.node = node;
             this.until = until;
+            this.wanted = wanted;
             this.ended = ended;
         }
 
@@ -212,13 +224,15 @@
 
         private void open() {
             opened = Time.now();
-            Optional<InetSocketAddress> address = directory.ready(node).flatMap(this::address);
-            if (address.isEmpty()) {
-                holdBack(Status.CONNECT_FAILED);
+            Optional<NodeDirectory.Known> known = directory.ready(node);
+            Optional<InetSocketAddress> address = known.flatMap(this::address);
+            use = address.map(this::use).orElse("");
+            Optional<Status> heldBack = heldBack();
+            if (heldBack.isPresent()) {
+                holdBack(heldBack.get());
                 return;
             }
-            use = address.get() + purpose();
-            Optional<Wire> kept = takeIdle(use);
+            Optional<Wire> kept = takeIdle(use, known.orElseThrow().started());
             if (kept.isPresent()) {
                 wire = kept.get();
                 begin();
@@ -251,21 +265,35 @@
             end(Status.CONNECT_FAILED);
         }
 
+        private String use(InetSocketAddress address) {
+            return address + purpose();
+        }
+
         /**
-         * A slow connect must not send late: the node may drain by now, or the time may be up. The latter
-         * says nothing of the node.
+         * The one place that says whether a request may begin at its node now; why not, where not. By the time
+         * that a slow connection is up the node may drain or listen elsewhere, the time may be up, or the
+         * client may have left. The last two say nothing of the node.
          */
+        private Optional<Status> heldBack() {
+            if (Time.until(until).isZero() || !wanted.getAsBoolean()) {
+                return Optional.of(Status.MOOT);
+            }
+            return directory.ready(node).flatMap(this::address).map(this::use).filter(use::equals).isPresent()
+                    ? Optional.empty() : Optional.of(Status.CONNECT_FAILED);
+        }
+
         private void begin() {
             if (over) {
                 return;
             }
-            Duration left = Time.until(until);
-            if (left.isZero() || directory.ready(node).isEmpty()) {
+            Optional<Status> heldBack = heldBack();
+            if (heldBack.isPresent()) {
                 keep(wire, use, node);
                 wire = null;
-                holdBack(left.isZero() ? Status.MOOT : Status.CONNECT_FAILED);
+                holdBack(heldBack.get());
                 return;
             }
+            Duration left = Time.until(until);
             begun = true;
             limit(left, Status.TIMEOUT);
             wire.listen(this);
--- a/src/main/java/cypressglade/net/Wire.java
+++ b/src/main/java/cypressglade/net/Wire.java
@@ -1,7 +1,9 @@
 package cypressglade.net;
 
+import cypressglade.core.Time;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.time.Instant;
 import java.util.ArrayDeque;
 import java.util.List;
 import org.xnio.IoUtils;
@@ -18,6 +20,7 @@
     private boolean closed;
     private boolean closeWhenSent;
     private boolean blocked;
+    private Instant used = Time.now();
 
     /** Hears what comes. */
     public interface Listener {
@@ -70,6 +73,11 @@
         }
     }
 
+    /** When bytes went either way last; the other side counts the connection's rest from then. */
+    public Instant used() {
+        return used;
+    }
+
     /** Bytes that the socket has not taken yet. */
     public long unsent() {
         return unsent;
@@ -106,6 +114,7 @@
                 int before = first.remaining();
                 int wrote = connection.getSinkChannel().write(first);
                 unsent -= before - first.remaining();
+                used = Time.now();
                 if (first.hasRemaining() && wrote == 0) {
                     blocked = true;
                     connection.getSinkChannel().resumeWrites();
@@ -140,6 +149,7 @@
                     over(listener::ended);
                     return;
                 }
+                used = Time.now();
                 listener.received(input.flip());
             }
         } catch (IOException reset) {
--- a/src/test/java/cypressglade/core/RequestLifeTest.java
+++ b/src/test/java/cypressglade/core/RequestLifeTest.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -36,6 +37,7 @@
     private final RequestPool pool = new RequestPool(2, 0, counters);
     private Engine engine;
     private volatile String answeredBy;
+    private volatile BooleanSupplier wants;
 
     private final Caller caller = new Caller() {
         @Override
@@ -58,8 +60,9 @@
 
     private final NodeLink<String> link = new NodeLink<>() {
         @Override
-        public Attempt send(long node, String work, Instant until, Consumer<Ending> ended) {
+        public Attempt send(long node, String work, Instant until, BooleanSupplier wanted, Consumer<Ending> ended) {
             sent.add(ended);
+            wants = wanted;
             return () -> ended.accept(Ending.of(Status.CANCELLED));
         }
 
@@ -157,6 +160,22 @@
         assertThat(answer()).isEqualTo("served 3");
     }
 
+    /** Guards against an attempt beginning between its client's leave and the task's hearing of it. */
+    @Test
+    void anAttemptIsWantedNoMoreAsSoonAsItsClientLeaves() throws Exception {
+        RequestLife<String> life = life(Duration.ofSeconds(2));
+        pool.start(life);
+        Consumer<Ending> ended = attempt();
+        assertThat(wants.getAsBoolean()).isTrue();
+        life.clientGone();
+        assertThat(wants.getAsBoolean()).isFalse();
+        ended.accept(Ending.of(Status.MOOT));
+        begin();
+        attempt().accept(new Ending(Status.OK, DATA, NodeLink.Told.NOTHING));
+        assertThat(answer()).as("of the next request alone").isEqualTo("served 3");
+        assertThat(answers).isEmpty();
+    }
+
     /** Guards against the module losing an outcome since a late cancel was counted as an attempt. */
     @Test
     void cancelOfNothingCountsAsNoAttempt() throws Exception {
--- a/src/test/java/cypressglade/http/NodeClientTest.java
+++ b/src/test/java/cypressglade/http/NodeClientTest.java
@@ -39,7 +39,7 @@
             NodeClient client = new NodeClient(pool, 1 << 20, List.of("queue", "latency_ms"));
             CompletableFuture<Ending> ended = new CompletableFuture<>();
             client.send(1, new HttpWork("GET", "/ledger-read/00000003b4d60021/7f3a9c21e0b4d655", "t-1",
-                    Optional.empty(), new byte[0]), Time.now().plusSeconds(5), ended::complete);
+                    Optional.empty(), new byte[0]), Time.now().plusSeconds(5), () -> true, ended::complete);
             return ended.get(5, TimeUnit.SECONDS);
         }
     }
--- a/src/test/java/cypressglade/net/NodePoolTest.java
+++ b/src/test/java/cypressglade/net/NodePoolTest.java
@@ -29,12 +29,15 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** Node connections by themselves, against a node that answers each byte with a byte. */
 class NodePoolTest {
     private static final Duration LONG = Duration.ofSeconds(5);
 
     private final AtomicInteger bytes = new AtomicInteger();
+    private volatile boolean wanted = true;
     private final NodeDirectory directory = new NodeDirectory();
     private final CountDownLatch nodeSawTheEnd = new CountDownLatch(1);
     private final StandIn node = new StandIn() {
@@ -49,10 +52,10 @@
         }
     };
 
-    private static Ending exchange(NodePool pool, long number, Duration time, Consumer<Runnable> prepares)
+    private Ending exchange(NodePool pool, long number, Duration time, Consumer<Runnable> prepares)
             throws Exception {
         CompletableFuture<Ending> ended = new CompletableFuture<>();
-        NodePool.Exchange exchange = pool.new Exchange(number, Time.now().plus(time), ended::complete) {
+        NodePool.Exchange exchange = pool.new Exchange(number, Time.now().plus(time), () -> wanted, ended::complete) {
             @Override
             protected void prepare(Wire fresh, Runnable ready, Runnable unusable) {
                 prepares.accept(ready);
@@ -123,6 +126,52 @@
         }
     }
 
+    /** Guards against a slow connection carrying a request whose client has left, or to where the node was. */
+    @ParameterizedTest
+    @CsvSource({"true,MOOT", "false,CONNECT_FAILED"})
+    void whatChangesWhileAConnectionComesUpHoldsTheRequestBack(boolean clientLeaves, Status status) throws Exception {
+        try (node; Loop loop = new Loop()) {
+            NodePool pool = pool(loop);
+            assertThat(exchange(pool, 1, LONG, ready -> {
+                if (clientLeaves) {
+                    wanted = false;
+                } else {
+                    tell(State.READY, new InetSocketAddress(node.address().getAddress(), 1));
+                }
+                ready.run();
+            }).status()).isEqualTo(status);
+            assertThat(nodeSawTheEnd.await(5, TimeUnit.SECONDS)).isTrue();
+            assertThat(bytes).hasValue(0);
+        }
+    }
+
+    /** A request that nobody waits for opens no connection. */
+    @Test
+    void whatIsNotWantedIsNotDialled() throws Exception {
+        try (node; Loop loop = new Loop()) {
+            wanted = false;
+            assertThat(exchange(pool(loop), 1, LONG, Runnable::run).status()).isEqualTo(Status.MOOT);
+            assertThat(node.connections).hasValue(0);
+        }
+    }
+
+    /** Guards against a write on a connection to the process before, which may have died without a word. */
+    @Test
+    void idleConnectionFromBeforeTheNodesStartIsNotUsed() throws Exception {
+        try (node; Loop loop = new Loop()) {
+            tell(State.READY);
+            NodePool pool = new NodePool(loop, directory, new Counters(), Duration.ofMillis(250),
+                    Duration.ofMinutes(1), 4);
+            assertThat(exchange(pool, 1, LONG, Runnable::run).status()).isEqualTo(Status.OK);
+            assertThat(exchange(pool, 1, LONG, Runnable::run).status()).isEqualTo(Status.OK);
+            assertThat(node.connections).hasValue(1);
+            directory.update(new NodeList(2, true, List.of(new NodeList.Entry("s-0", node.address(), 0, 0, 0,
+                    State.READY, 1, Time.now()))));
+            assertThat(exchange(pool, 1, LONG, Runnable::run).status()).isEqualTo(Status.OK);
+            assertThat(node.connections).hasValue(2);
+        }
+    }
+
     /** Guards against connections that outlive their node, as descriptors of ours and as room of the node's. */
     @Test
     void idleConnectionGoesWithItsNode() throws Exception {
