Give each step of a discovery watch a limit, read lists over many lines, list before doors

Cause, found by reading and by a probe of what discovery's agent writes: a watch had one clock for its dial and its first answer (FIRST, 7 s, where 6 s after discovery could be reached counts as told), any byte restarted the clock of silence, and a list over several lines was cut at each of them and refused for ever. The doors opened beside the first call, so that a new process could send by a list of its former life what counts as told from its first moment. The probe: an agent answers a call at once with an object, be it empty, and one that is silent answers it at its return. Lines at fault: DiscoveryWatch.look, FIRST, SILENCE, Watch.received and take; Serve.start. Change: limits for connect (0.5 s), answer (1 s pushed, 2 to 4 s asked for), silence between whole signs of life (3 s); a pending dial is cancelled with its watch; JsonFraming finds objects wherever they are split; the doors wait for the first list, 1 s at most. A stop during the start opens no doors.

--- a/src/main/java/cypressglade/cli/Serve.java
+++ b/src/main/java/cypressglade/cli/Serve.java
@@ -47,6 +47,11 @@
     private static final Duration SETTLE = Duration.ofMillis(50);
     /** The front asks for the health ten times a second and sends no new connection 0.2 s after a no. */
     private static final Duration FRONT_TURNED = Duration.ofMillis(300);
+    /**
+     * What discovery has counts as told from a process's first moment, and its first list says so: the doors
+     * wait for it, but not for a discovery that is down.
+     */
+    private static final Duration FIRST_LIST = Duration.ofSeconds(1);
 
     private static final String MEMBER = "member ";
     private static final String EVACUATE = "evacuate";
@@ -69,6 +74,8 @@
     private final Optional<Doorway> door;
     private final Optional<DoubtFile> doubts;
     private final AtomicLong evacuations = new AtomicLong();
+    private final Object doors = new Object();
+    private boolean stopping; // guarded by doors
     private volatile boolean ready;
     private volatile boolean evacuated;
 
@@ -121,7 +128,7 @@
         Consumer<NodeList> lists = byHand ? drains::told : engine::told;
         lists.accept(config.known());
         discovery = new DiscoveryWatch(loop, config.discovery(), config.nodeLists(), directory, lists,
-                counters);
+                counters, config.settings().listOnRequest());
         discovery.start();
         clients = new ClientListener(loop, config.settings(), engine, counters, pool, nodes,
                 () -> ready && !evacuated, config.budget(),
@@ -155,17 +162,36 @@
     }
 
     /**
-     * Learns from peers for a bounded time, and opens the doors. Whoever stops the program must be able to
-     * from here on.
+     * Learns from peers and from discovery for a bounded time, and opens the doors. Whoever stops the program
+     * must be able to from here on: what is told to stop before its doors are open opens none.
      */
     public void start() throws IOException {
         if (peers.isPresent()) {
             peers.get().start();
         }
         door.ifPresent(Doorway::start);
-        clients.start(config.listen());
-        door.ifPresent(Doorway::serving);
-        ready = true;
+        try {
+            discovery.awaitFirst(FIRST_LIST);
+        } catch (InterruptedException stopped) {
+            Thread.currentThread().interrupt();
+        }
+        synchronized (doors) {
+            if (!stopping) {
+                clients.start(config.listen());
+                door.ifPresent(Doorway::serving);
+                ready = true;
+            }
+        }
+    }
+
+    /** Turns the health around for good; false where the doors were never open, and nothing is owed. */
+    private boolean stopOpening() {
+        synchronized (doors) {
+            boolean wasReady = ready;
+            stopping = true;
+            ready = false;
+            return wasReady;
+        }
     }
 
     /**
@@ -247,7 +273,16 @@
      */
     public void drain() throws InterruptedException {
         Instant told = Time.now();
-        ready = false;
+        if (stopOpening()) {
+            answerAll(told);
+        }
+        doubts.ifPresent(kept -> kept.close(engine));
+        peers.ifPresent(Peers::close);
+        control.ifPresent(Control::close);
+        door.ifPresent(Doorway::close);
+    }
+
+    private void answerAll(Instant told) throws InterruptedException {
         Duration longest = config.settings().classes().stream().map(RequestClass::deadlineUs)
                 .map(Micros::span).max(Duration::compareTo).orElse(Duration.ZERO);
         Instant served = told.plus(longest.compareTo(MOST_COUNTED) < 0 ? longest : MOST_COUNTED)
@@ -266,10 +301,6 @@
             Thread.sleep(LOOK.toMillis());
         }
         Thread.sleep(SETTLE.toMillis());
-        doubts.ifPresent(kept -> kept.close(engine));
-        peers.ifPresent(Peers::close);
-        control.ifPresent(Control::close);
-        door.ifPresent(Doorway::close);
     }
 
     @Override
--- a/src/main/java/cypressglade/http/DiscoveryWatch.java
+++ b/src/main/java/cypressglade/http/DiscoveryWatch.java
@@ -5,30 +5,23 @@
 import cypressglade.core.Counters;
 import cypressglade.core.NodeDirectory;
 import cypressglade.core.NodeList;
-import cypressglade.core.Time;
 import cypressglade.net.Loop;
 import cypressglade.net.Wire;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.time.Instant;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.xnio.XnioExecutor;
 
-/** Watches discovery and hands on what it tells; connects again with the last version after any break. */
+/**
+ * Watches discovery and hands on what it tells; connects again with the last version after any break. Each step
+ * of a watch has a limit, so that what a dead one misses is here before it counts as told: the design has the
+ * arithmetic, {@link Limits} the figures.
+ */
 public final class DiscoveryWatch {
-    private static final Duration AGAIN = Duration.ofMillis(200);
-    private static final Duration LOOK = Duration.ofMillis(250);
-    /**
-     * A line comes every 2 s even while nothing changes. What a silent watch misses counts as told 6 s after
-     * it fell silent: by then it has to be found silent, opened anew, and answered.
-     */
-    private static final Duration SILENCE = Duration.ofMillis(4500);
-    /** The first line of a call: discovery may work through others' before, one after the other. */
-    private static final Duration FIRST = Duration.ofSeconds(7);
-    private static final int MOST_LINE = 1 << 20;
     private static final System.Logger LOG = System.getLogger(DiscoveryWatch.class.getName());
 
     private final Loop loop;
@@ -37,25 +30,71 @@
     private final NodeDirectory directory;
     private final Consumer<NodeList> told;
     private final Counters counters;
+    private final Limits limits;
+    private final CountDownLatch answered = new CountDownLatch(1);
     private Watch current;
     private String logged = "";
     private boolean fromTheStart;
+    private int unanswered;
+
+    /**
+     * How long each step of a watch may take.
+     *
+     * @param connect until its connection is up
+     * @param answer until the first object of the answer, for the first call after one that was answered
+     * @param mostAnswer the same at the most: it doubles with each call that was not answered, as a discovery
+     *     that works through calls one after the other would never come to the end of those that are given up
+     * @param silence between two signs of life, of which one comes every 2 s
+     * @param again from a break to the next connection
+     */
+    record Limits(Duration connect, Duration answer, Duration mostAnswer, Duration silence, Duration again) {
+        private static final Duration CONNECT = Duration.ofMillis(500);
+        private static final Duration SILENCE = Duration.ofSeconds(3);
+        private static final Duration AGAIN = Duration.ofMillis(200);
+        /** An agent on this machine answers at once, and may answer only a new call once discovery is back. */
+        static final Limits PUSHED = new Limits(CONNECT, Duration.ofSeconds(1), Duration.ofSeconds(1), SILENCE,
+                AGAIN);
+        /** One discovery for all. */
+        static final Limits ASKED = new Limits(CONNECT, Duration.ofSeconds(2), Duration.ofSeconds(4), SILENCE,
+                AGAIN);
+
+        /** From the last sign of life of a watch that falls silent until the next call is made. */
+        Duration found() {
+            return silence.plus(again);
+        }
+
+        /** What a call that fails in its worst way takes, until the next one is made. */
+        Duration failed() {
+            return connect.plus(answer).plus(again);
+        }
+
+        private Duration answerAfter(int unansweredCalls) {
+            Duration doubled = answer.multipliedBy(1L << Math.min(unansweredCalls, 3));
+            return doubled.compareTo(mostAnswer) < 0 ? doubled : mostAnswer;
+        }
+    }
 
+    /** A watch that is opened by {@link #start}; {@code asked} where lists are not pushed to an agent here. */
     public DiscoveryWatch(Loop loop, InetSocketAddress address, NodeListParser lists, NodeDirectory directory,
-            Consumer<NodeList> told, Counters counters) {
+            Consumer<NodeList> told, Counters counters, boolean asked) {
         this.loop = loop;
         this.address = address;
         this.lists = lists;
         this.directory = directory;
         this.told = told;
         this.counters = counters;
+        this.limits = asked ? Limits.ASKED : Limits.PUSHED;
     }
 
     public void start() {
-        loop.execute(() -> {
-            open();
-            look();
-        });
+        loop.execute(this::open);
+    }
+
+    /**
+     * Waits for the first list, whatever is in it; false where none came in time, as while discovery is down.
+     */
+    public boolean awaitFirst(Duration most) throws InterruptedException {
+        return answered.await(most.toMillis(), TimeUnit.MILLISECONDS);
     }
 
     /**
@@ -69,6 +108,7 @@
             if (!next.equals(address)) {
                 address = next;
                 fromTheStart = true;
+                unanswered = 0;
                 if (current != null) {
                     current.drop();
                 }
@@ -78,37 +118,42 @@
     }
 
     private void open() {
-        if (current != null) { // a watch on a new address came first
-            return;
-        }
-        Watch watch = new Watch();
-        current = watch;
-        loop.dial(address, watch::connected, () -> watch.broken("no connection"));
-    }
-
-    private void look() {
-        if (current != null && current.heard.plus(current.begun ? SILENCE : FIRST).isBefore(Time.now())) {
-            current.broken("silent");
+        if (current == null) { // else a watch on a new address came first
+            current = new Watch();
+            current.open();
         }
-        loop.after(LOOK, this::look);
     }
 
     /** One watch, on one connection. */
-    private final class Watch implements Wire.Listener {
+    private final class Watch implements Wire.Listener, JsonFraming.Taker {
         private final ResponseParser parser = new ResponseParser(this::take, Long.MAX_VALUE);
-        private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+        private final JsonFraming objects = new JsonFraming(this);
+        private Loop.Dial dial;
         private Wire wire;
-        private Instant heard = Time.now();
-        private boolean begun;
-        private String fault;
+        private XnioExecutor.Key limit = () -> false;
+        private boolean listed;
 
-        void connected(Wire up) {
+        private void open() {
+            expect(limits.connect(), "no connection in time");
+            dial = loop.dial(address, this::connected, () -> broken("no connection"));
+        }
+
+        /** The next step has so long from now; the last one is done. */
+        private void expect(Duration most, String otherwise) {
+            limit.remove();
+            limit = loop.after(most, () -> broken(otherwise));
+        }
+
+        private void connected(Wire up) {
+            dial = null;
             if (current != this) {
                 up.close();
                 return;
             }
             wire = up;
             wire.listen(this);
+            expect(limits.answerAfter(unanswered), "not answered");
+            unanswered++;
             wire.send(ResponseParser.ascii("GET /v1/servers?stream=1&index="
                     + (fromTheStart ? 0 : directory.version())
                     + " HTTP/1.1\r\nHost: discovery\r\n\r\n"));
@@ -116,50 +161,64 @@
 
         @Override
         public void received(ByteBuffer in) throws IOException {
-            heard = Time.now();
-            begun = true;
-            logged = "";
-            boolean whole = parser.feed(in);
-            if (fault != null || whole) {
-                throw new IOException(fault == null ? "ended" : fault);
+            try {
+                if (parser.feed(in)) {
+                    broken("ended");
+                }
+            } catch (IOException spoilt) {
+                broken(spoilt.getMessage());
             }
         }
 
         @Override
         public void ended() {
-            broken(fault == null ? "ended" : fault);
+            broken("ended");
         }
 
-        private void take(ByteBuffer part) {
-            while (part.hasRemaining() && fault == null) {
-                byte next = part.get();
-                if (next != '\n') {
-                    line.write(next);
-                    fault = line.size() > MOST_LINE ? "a line is too long" : null;
-                } else {
-                    object(line.toByteArray());
-                    line.reset();
-                }
-            }
+        @Override
+        public void broke() {
+            broken("reset");
         }
 
-        private void object(byte[] text) {
+        private void take(ByteBuffer part) throws IOException {
             if (parser.status() != 200) {
-                fault = "status " + parser.status();
-            } else if (!new String(text, StandardCharsets.ISO_8859_1).isBlank()) {
-                try {
-                    told.accept(lists.parse(text, 0, text.length));
-                    fromTheStart = false;
-                } catch (ConfigException bad) {
-                    fault = bad.getMessage();
-                }
+                throw new IOException("status " + parser.status());
+            }
+            objects.feed(part);
+        }
+
+        @Override
+        public void object(byte[] text) throws IOException {
+            NodeList list;
+            try {
+                list = lists.parse(text, 0, text.length);
+            } catch (ConfigException bad) {
+                throw new IOException(bad.getMessage(), bad);
+            }
+            told.accept(list);
+            fromTheStart = false;
+            unanswered = 0;
+            logged = "";
+            listed = true;
+            answered.countDown();
+            expect(limits.silence(), "silent");
+        }
+
+        /** Only what is whole is a sign of life: half an object may be the last that comes. */
+        @Override
+        public void line() {
+            if (listed) {
+                expect(limits.silence(), "silent");
             }
         }
 
         private void drop() {
             current = null;
+            limit.remove();
             if (wire != null) {
                 wire.close();
+            } else if (dial != null) {
+                dial.cancel();
             }
         }
 
@@ -171,7 +230,7 @@
                     logged = why;
                     LOG.log(System.Logger.Level.INFO, "discovery watch: {0}", why);
                 }
-                loop.after(AGAIN, DiscoveryWatch.this::open);
+                loop.after(limits.again(), DiscoveryWatch.this::open);
             }
         }
     }
