Close clients' connections in one order, see leaves behind pipelined bytes, begin nothing for them

A stop told while the program starts could open doors behind itself. Ruled out: TCP_NODELAY is set on accepted connections and on ours (Loop.TCP). Lines at fault: ClientListener.watchForEnd, closeUnlessAsked, close, answerUnread, Client.idle; Serve.start and drain. Change: ClientListener.hasLeft reads on up to 16 KB, counted in the room for what comes in, and is asked before a request is taken; Parting is the lingering close (end our side, read and drop, close); HeardSourceConduit tells of a request that is coming. Serve waits for those who are being parted from, 0.2 s at most, and the port is left before that.

--- a/src/main/java/cypressglade/cli/Main.java
+++ b/src/main/java/cypressglade/cli/Main.java
@@ -224,8 +224,9 @@
             out.flush();
             Runtime.getRuntime().halt(OK); // a planned stop is no failure, whatever the signal's own code
         }, "stop"));
-        scheduler.start();
-        out.println("listening on " + scheduler.address());
+        if (scheduler.start()) {
+            out.println("listening on " + scheduler.address());
+        } // else a signal to stop came first, and the hook above ends the program
         scheduler.peerAddress().ifPresent(address -> out.println("peers on " + address));
         scheduler.nbdAddress().ifPresent(address -> out.println("NBD on " + address));
         scheduler.operatorAddress().ifPresent(address -> out.println("operators' door on " + address));
--- a/src/main/java/cypressglade/cli/Serve.java
+++ b/src/main/java/cypressglade/cli/Serve.java
@@ -45,6 +45,8 @@
     private static final Duration BEFORE_THE_KILL = Duration.ofMillis(400);
     private static final Duration LOOK = Duration.ofMillis(10);
     private static final Duration SETTLE = Duration.ofMillis(50);
+    /** For clients to end their side once we have ended ours; before the kill. */
+    private static final Duration PARTING = Duration.ofMillis(200);
     /** The front asks for the health ten times a second and sends no new connection 0.2 s after a no. */
     private static final Duration FRONT_TURNED = Duration.ofMillis(300);
     /**
@@ -164,8 +166,10 @@
     /**
      * Learns from peers and from discovery for a bounded time, and opens the doors. Whoever stops the program
      * must be able to from here on: what is told to stop before its doors are open opens none.
+     *
+     * @return whether the doors are open
      */
-    public void start() throws IOException {
+    public boolean start() throws IOException {
         if (peers.isPresent()) {
             peers.get().start();
         }
@@ -181,6 +185,7 @@
                 door.ifPresent(Doorway::serving);
                 ready = true;
             }
+            return ready;
         }
     }
 
@@ -261,6 +266,11 @@
         return peers.flatMap(Peers::address);
     }
 
+    /** Connections of clients that are open, or are being closed in order. */
+    public int connected() {
+        return clients.connected();
+    }
+
     public Counters counters() {
         return counters;
     }
@@ -295,11 +305,14 @@
         Thread.sleep(Time.until(told.plus(SERVE_ON)).toMillis());
         blockClients.ifPresent(NbdListener::refuseCommands);
         Thread.sleep(Time.until(served).toMillis());
-        clients.leave();
+        clients.end();
         Instant last = told.plus(SERVE_ON).plus(longest);
         while (pool.open() > 0 && Time.now().isBefore(last)) {
             Thread.sleep(LOOK.toMillis());
         }
+        while (clients.connected() > 0 && Time.now().isBefore(served.plus(PARTING))) {
+            Thread.sleep(LOOK.toMillis());
+        }
         Thread.sleep(SETTLE.toMillis());
     }
 
--- a/src/main/java/cypressglade/http/ClientListener.java
+++ b/src/main/java/cypressglade/http/ClientListener.java
@@ -27,6 +27,7 @@
 import io.undertow.server.protocol.http.HttpServerConnection;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
+import io.undertow.util.ImmediatePooledByteBuffer;
 import io.undertow.util.SameThreadExecutor;
 import io.undertow.util.StatusCodes;
 import java.io.IOException;
@@ -73,8 +74,8 @@
     private static final Duration SWEEP_CROWD = Duration.ofMillis(20);
     /** From the last look at a connection to its close, so that what has come by then is still read. */
     private static final Duration LAST_LOOK = Duration.ofMillis(2);
-    /** From an answer to a request that is not read to the close, which may overtake the answer. */
-    private static final Duration LINGER = Duration.ofMillis(100);
+    /** What a client may send ahead of time; more is not read, nor a leave behind that seen, till then. */
+    private static final int MOST_AHEAD = 16 * 1024;
     /** For those in the backlog to be accepted before the listener closes. */
     private static final Duration LAST_ACCEPTS = Duration.ofMillis(20);
     /** When a connection may make way for others: one that was used, and one that never said anything. */
@@ -112,25 +113,43 @@
     private Instant last = Instant.MAX;
     private boolean leaving;
     private boolean portLeft;
+    private volatile int connected; // clients and those that are being parted from, for other threads
 
     /** A client connection: since when nothing is open on it, and what room its body takes while it comes. */
     private static final class Client {
         private final StreamConnection connection;
+        private final Parting parting;
         private Instant since = Time.now();
+        private boolean coming; // part of a request is here
         private boolean open;
         private boolean answered; // a request, not just a look at the health
         private boolean writing;
         private boolean closing;
         private int receiving;
+        private int ahead;
         private int answering;
 
         private Client(StreamConnection connection) {
             this.connection = connection;
+            parting = new Parting(connection);
+            ConduitStreamSourceChannel source = connection.getSourceChannel();
+            source.setConduit(new HeardSourceConduit(source.getConduit(), this::heard));
         }
 
-        /** Whether nothing is owed on it: neither is a request open nor is an answer on its way. */
+        /**
+         * Bytes came. A client that has been answered may begin its next request at the end of its rest, and
+         * write it slowly; one that has not has its time from the connect, whatever it sends.
+         */
+        private void heard() {
+            if (!open && !coming) {
+                coming = true;
+                since = answered ? Time.now() : since;
+            }
+        }
+
+        /** Whether nothing is owed on it: no request is coming or open, and no answer is on its way. */
         private boolean idle() {
-            return !open && !writing;
+            return !coming && !open && !writing;
         }
     }
 
@@ -207,7 +226,15 @@
         });
     }
 
+    /**
+     * Where clients connect.
+     *
+     * @throws IllegalStateException where the doors are not open
+     */
     public InetSocketAddress address() {
+        if (listening == null) {
+            throw new IllegalStateException("the doors are not open");
+        }
         return listening.address();
     }
 
@@ -225,6 +252,18 @@
         });
     }
 
+    /** The same at the program's end, for all clients and for those who would still come. */
+    public void end() {
+        leave();
+        leavePort();
+        loop.execute(() -> clients.values().stream().filter(Client::idle).forEach(this::closeUnlessAsked));
+    }
+
+    /** Connections of clients that are not closed yet, be it that they are being parted from. */
+    public int connected() {
+        return connected;
+    }
+
     /**
      * Takes no new connection any more, as another process listens on the same port. Who waits to be accepted
      * is taken first: a listener that closes resets those. At the program's end it would be too late, as new
@@ -232,9 +271,11 @@
      */
     public void leavePort() {
         loop.execute(() -> {
-            portLeft = true;
-            bound(budget.clientConnections() + CROSSING);
-            loop.after(LAST_ACCEPTS, listening::close);
+            if (!portLeft) {
+                portLeft = true;
+                bound(budget.clientConnections() + CROSSING);
+                loop.after(LAST_ACCEPTS, listening::close);
+            }
         });
     }
 
@@ -245,13 +286,16 @@
 
     @Override
     public void close() {
-        listening.close();
+        if (listening != null) {
+            listening.close();
+        }
         http.closeConnections();
     }
 
     /** Takes a new connection, on the I/O thread. */
     public void accept(StreamConnection connection) {
         came++;
+        connected++;
         clients.put(connection, new Client(connection));
         makeRoom();
         http.handleEvent(connection);
@@ -294,6 +338,9 @@
         clients.values().stream().filter(client -> client.idle() && client.since.isBefore(oldest))
                 .filter(client -> leaving || last.equals(Instant.MAX) || !client.answered)
                 .forEach(this::closeUnlessAsked);
+        List.copyOf(clients.values()).stream()
+                .filter(client -> client.coming && !client.open && !client.writing)
+                .filter(client -> client.since.isBefore(oldest)).forEach(this::part);
         loop.after(crowded() ? SWEEP_CROWD : SWEEP, this::sweep);
     }
 
@@ -304,11 +351,25 @@
         loop.after(LAST_LOOK, () -> {
             client.closing = false;
             if (client.idle() && client.since.equals(since)) {
-                close(client);
+                part(client);
             }
         });
     }
 
+    /**
+     * Ends a connection with nothing owed on it. Whoever was never answered can lose nothing by a plain
+     * close, and in a crowd there is no time to part from each.
+     */
+    private void part(Client client) {
+        if (!client.answered) {
+            close(client);
+            return;
+        }
+        connected++; // left() takes it away, and the connection stays a little
+        left(client);
+        client.parting.start(loop, () -> connected--);
+    }
+
     private void close(Client client) {
         IoUtils.safeClose(client.connection);
         left(client);
@@ -323,17 +384,24 @@
     private void left(Client client) {
         received(client);
         answered(client);
-        clients.remove(client.connection);
+        heldAhead(client, 0);
+        if (clients.remove(client.connection) != null) {
+            connected--;
+        }
     }
 
     private Client client(HttpServerExchange exchange) {
         StreamConnection connection = ((HttpServerConnection) exchange.getConnection()).getChannel();
-        return clients.computeIfAbsent(connection, Client::new);
+        return clients.computeIfAbsent(connection, unknown -> { // parted from just now
+            connected++;
+            return new Client(unknown);
+        });
     }
 
     private void handle(HttpServerExchange exchange) {
         Instant arrived = Time.now();
         Client client = client(exchange);
+        client.coming = false;
         if (client.answered) { // the time of the first request is counted from the connect
             client.since = arrived;
         }
@@ -435,6 +503,10 @@
     }
 
     private void begin(HttpServerExchange exchange, IoRequest request, byte[] body) {
+        if (hasLeft(exchange)) { // while its body came, or while an earlier request of its was open
+            leave(exchange);
+            return;
+        }
         String target = exchange.getQueryString().isEmpty() ? exchange.getRequestURI()
                 : exchange.getRequestURI() + "?" + exchange.getQueryString();
         HeaderMap headers = exchange.getRequestHeaders();
@@ -454,36 +526,69 @@
     /** Reads on while the request is open, so that a client that goes away is noticed. */
     private void watchForEnd(HttpServerExchange exchange, RequestLife<HttpWork> life) {
         HttpServerConnection connection = (HttpServerConnection) exchange.getConnection();
-        ConduitStreamSourceChannel channel = connection.getChannel().getSourceChannel();
-        channel.setReadListener(source -> {
-            if (connection.getExtraBytes() != null) {
-                // Part of the next request is held already: what is read now belongs behind it, where an
-                // unget would put it in front. A client that sent the next request has not gone away.
-                connection.getOriginalSourceConduit().suspendReads();
-                return;
+        connection.getChannel().getSourceChannel().setReadListener(source -> {
+            if (hasLeft(exchange)) {
+                life.clientGone();
+                leave(exchange);
             }
-            PooledByteBuffer pooled = connection.getByteBufferPool().allocate();
+        });
+        connection.getOriginalSourceConduit().resumeReads();
+    }
+
+    private void leave(HttpServerExchange exchange) {
+        counters.add(Name.GONE);
+        IoUtils.safeClose(exchange.getConnection());
+        left(client(exchange));
+    }
+
+    /** Reads all that is here, keeps it for the next requests, and tells whether the client has left. */
+    private boolean hasLeft(HttpServerExchange exchange) {
+        HttpServerConnection connection = (HttpServerConnection) exchange.getConnection();
+        Client client = client(exchange);
+        heldAhead(connection, client); // the framework may have left some of what it read
+        while (client.ahead < MOST_AHEAD && receiving <= budget.receivingBytes()) {
+            PooledByteBuffer fresh = connection.getByteBufferPool().allocate();
             int got;
             try {
-                got = connection.getOriginalSourceConduit().read(pooled.getBuffer());
-            } catch (IOException broken) {
+                got = connection.getOriginalSourceConduit().read(fresh.getBuffer());
+            } catch (IOException reset) {
                 got = -1;
             }
-            if (got > 0) { // the next request, ahead of time: kept for when this one is answered
-                pooled.getBuffer().flip();
-                connection.ungetRequestBytes(pooled);
-                connection.getOriginalSourceConduit().suspendReads();
-                return;
-            }
-            pooled.close();
-            if (got < 0) {
-                connection.getOriginalSourceConduit().suspendReads();
-                counters.add(Name.GONE);
-                life.clientGone();
-                IoUtils.safeClose(connection);
+            if (got <= 0) {
+                fresh.close();
+                return got < 0;
             }
-        });
-        connection.getOriginalSourceConduit().resumeReads();
+            keepAhead(connection, client, fresh);
+        }
+        connection.getOriginalSourceConduit().suspendReads(); // a client that sends so much is still there
+        return false;
+    }
+
+    private void keepAhead(HttpServerConnection connection, Client client, PooledByteBuffer fresh) {
+        fresh.getBuffer().flip();
+        PooledByteBuffer held = connection.getExtraBytes();
+        if (held == null) {
+            connection.setExtraBytes(fresh);
+        } else { // an unget would put the new bytes in front
+            ByteBuffer first = held.getBuffer();
+            ByteBuffer both = ByteBuffer.allocate(first.remaining() + fresh.getBuffer().remaining());
+            both.put(first).put(fresh.getBuffer()).flip();
+            held.close();
+            fresh.close();
+            connection.setExtraBytes(new ImmediatePooledByteBuffer(both));
+        }
+        heldAhead(connection, client);
+    }
+
+    private void heldAhead(HttpServerConnection connection, Client client) {
+        PooledByteBuffer held = connection.getExtraBytes();
+        heldAhead(client, held == null ? 0 : held.getBuffer().remaining());
+    }
+
+    /** The one place where the room of what was sent ahead of time is taken and given back. */
+    private void heldAhead(Client client, int bytes) {
+        receiving += bytes - client.ahead;
+        client.ahead = bytes;
     }
 
     /** The one place where the room of a body is given back. */
@@ -533,6 +638,8 @@
             answered(client);
             client.since = Time.now();
             client.writing = false;
+            client.coming = client.ahead > 0; // the next request, or a part of it
+            heldAhead(client, 0);
             next.proceed();
         });
         send(exchange, ByteBuffer.wrap(body));
@@ -560,16 +667,15 @@
      * waiting for what never comes, before the answer can be whole.
      */
     private void answerUnread(HttpServerConnection connection, Client client, int status) {
-        connection.getOriginalSourceConduit().suspendReads();
+        client.answered = true;
         try {
             connection.getOriginalSinkConduit().write(ByteBuffer.wrap(("HTTP/1.1 " + status + " "
                     + StatusCodes.getReason(status) + "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
                     .getBytes(StandardCharsets.US_ASCII)));
-            connection.getOriginalSinkConduit().terminateWrites();
+            part(client);
         } catch (IOException gone) {
             close(client);
         }
-        loop.after(LINGER, () -> close(client));
     }
 
     /** The answer to one exchange. */
--- a/src/main/java/cypressglade/http/DiscoveryWatch.java
+++ b/src/main/java/cypressglade/http/DiscoveryWatch.java
@@ -17,9 +17,9 @@
 import org.xnio.XnioExecutor;
 
 /**
- * Watches discovery and hands on what it tells; connects again with the last version after any break. Each step
- * of a watch has a limit, so that what a dead one misses is here before it counts as told: the design has the
- * arithmetic, {@link Limits} the figures.
+ * Watches discovery and hands on what it tells; connects again with the last version after any break. Each
+ * step of a watch has a limit, so that what a dead one misses is here before it counts as told: the design
+ * has the arithmetic, {@link Limits} the figures.
  */
 public final class DiscoveryWatch {
     private static final System.Logger LOG = System.getLogger(DiscoveryWatch.class.getName());
@@ -51,9 +51,9 @@
         private static final Duration CONNECT = Duration.ofMillis(500);
         private static final Duration SILENCE = Duration.ofSeconds(3);
         private static final Duration AGAIN = Duration.ofMillis(200);
-        /** An agent on this machine answers at once, and may answer only a new call once discovery is back. */
-        static final Limits PUSHED = new Limits(CONNECT, Duration.ofSeconds(1), Duration.ofSeconds(1), SILENCE,
-                AGAIN);
+        /** An agent on this machine answers at once; once discovery is back, it may be a new call only. */
+        static final Limits PUSHED = new Limits(CONNECT, Duration.ofSeconds(1), Duration.ofSeconds(1),
+                SILENCE, AGAIN);
         /** One discovery for all. */
         static final Limits ASKED = new Limits(CONNECT, Duration.ofSeconds(2), Duration.ofSeconds(4), SILENCE,
                 AGAIN);
@@ -74,7 +74,7 @@
         }
     }
 
-    /** A watch that is opened by {@link #start}; {@code asked} where lists are not pushed to an agent here. */
+    /** One that begins with {@link #start}; {@code asked} where lists are not pushed to an agent here. */
     public DiscoveryWatch(Loop loop, InetSocketAddress address, NodeListParser lists, NodeDirectory directory,
             Consumer<NodeList> told, Counters counters, boolean asked) {
         this.loop = loop;
--- a/src/main/java/cypressglade/http/JsonFraming.java
+++ b/src/main/java/cypressglade/http/JsonFraming.java
@@ -5,8 +5,8 @@
 import java.nio.ByteBuffer;
 
 /**
- * Cuts a stream into the JSON objects that it holds, one after the other, wherever its bytes were split and over
- * however many lines an object comes. What an object says is for its reader; only where it ends is found here.
+ * Cuts a stream into the JSON objects that it holds, one after the other, wherever its bytes were split and
+ * over however many lines an object comes. Only where one ends is found here; its reader knows what it says.
  */
 final class JsonFraming {
     private static final int MOST_OBJECT = 1 << 20;
--- a/src/main/java/cypressglade/net/NodePool.java
+++ b/src/main/java/cypressglade/net/NodePool.java
@@ -77,7 +77,7 @@
             this.wire = wire;
             this.use = use;
             this.node = node;
-            since = wire.used(); // one that was taken and not used has rested all along, as its node counts it
+            since = wire.used(); // one that was taken and not used has rested all along
         }
 
         @Override
@@ -111,8 +111,8 @@
             } else if (last.wire.quiet()) {
                 return Optional.of(last.wire);
             } else {
-                // Guards against bytes behind an answer that are here but not heard of yet: they would be taken
-                // for the next answer.
+                // Guards against bytes behind an answer that are here but not heard of yet: they would be
+                // taken for the next answer.
                 counters.add(Counters.Name.STRAY_BYTES);
                 close(last.wire);
             }
@@ -270,9 +270,9 @@
         }
 
         /**
-         * The one place that says whether a request may begin at its node now; why not, where not. By the time
-         * that a slow connection is up the node may drain or listen elsewhere, the time may be up, or the
-         * client may have left. The last two say nothing of the node.
+         * The one place that says whether a request may begin at its node now; why not, where not. By the
+         * time that a slow connection is up the node may drain or listen elsewhere, the time may be up, or
+         * the client may have left. The last two say nothing of the node.
          */
         private Optional<Status> heldBack() {
             if (Time.until(until).isZero() || !wanted.getAsBoolean()) {
--- a/src/test/java/cypressglade/core/RequestLifeTest.java
+++ b/src/test/java/cypressglade/core/RequestLifeTest.java
@@ -61,8 +61,8 @@
     private final NodeLink<String> link = new NodeLink<>() {
         @Override
         public Attempt send(long node, String work, Instant until, BooleanSupplier wanted, Consumer<Ending> ended) {
-            sent.add(ended);
             wants = wanted;
+            sent.add(ended);
             return () -> ended.accept(Ending.of(Status.CANCELLED));
         }
 
