--- a/src/main/java/cypressglade/core/Brain.java
+++ b/src/main/java/cypressglade/core/Brain.java
@@ -515,7 +515,7 @@
             Held held = node.queue.get(i);
             if (!mayGo(now, held) || node.coldRoom(now) < held.request.units()) {
                 i++;
-            } else if (!held.sent.isEmpty() && !mayTryFurther(now)) {
+            } else if (!held.sent.isEmpty() && !mayTryFurther(now, held)) {
                 giveUp(now, held, FULL_REST_US, Reason.BUDGET); // it was there when this was held
             } else if (!held.background || !shift(node, held, i)) {
                 // What a silent node has out is lost or stuck: it keeps out nothing that a probe allows.
@@ -582,10 +582,8 @@
 
     /** Settles a request whose attempt failed: another attempt where the rules allow it, or its answer. */
     private void again(long now, Held held, Node node, Status status) {
-        boolean repeatable = !held.mayHaveRun || held.type.effect() == Effect.SAFE
-                || held.type.effect() == Effect.KEYED && now - held.firstSent < held.type.keyTtlUs() / 2;
-        boolean retry = repeatable && status != Status.TIMEOUT && status != Status.MOOT
-                && held.sent.size() < limits.attempts() && mayTryFurther(now);
+        boolean retry = status != Status.TIMEOUT && status != Status.MOOT
+                && held.sent.size() < limits.attempts() && mayTryFurther(now, held);
         Node next = retry && held.request.shard() < 0 && !held.mayHaveRun ? bestNode(now, held) : node;
         if (retry && next != null && usable(now, next)
                 && now + finish(now, next, held, next.heldAhead(held)) <= held.due) {
@@ -596,12 +594,14 @@
         }
     }
 
-    /** The budget of further attempts; asked again when a held one leaves, as its window has moved on. */
-    private boolean mayTryFurther(long now) {
+    /** The class and the budget of further attempts; asked again when a held one leaves, windows move on. */
+    private boolean mayTryFurther(long now, Held held) {
+        boolean repeatable = !held.mayHaveRun || held.type.effect() == Effect.SAFE
+                || held.type.effect() == Effect.KEYED && now - held.firstSent < held.type.keyTtlUs() / 2;
         further.removeIf(at -> at < now - limits.budgetWindowUs());
         taken.removeIf(at -> at < now - limits.budgetWindowUs() + settings.tickUs());
-        return !limits.budget()
-                || further.size() + 1 <= limits.freeResends() + limits.furtherRatio() * taken.size();
+        return repeatable && (!limits.budget()
+                || further.size() + 1 <= limits.freeResends() + limits.furtherRatio() * taken.size());
     }
 
     /** The final answer, at once: refused where that is allowed, failed where the work may have run. */
--- a/src/test/java/cypressglade/core/BrainTest.java
+++ b/src/test/java/cypressglade/core/BrainTest.java
@@ -162,6 +162,28 @@
         assertEquals(0, head.count("send 4"));
     }
 
+    /** Guards against a repeat that waited behind others until its key is forgotten, and then ran twice. */
+    @Test
+    void keyedRequestIsNotRepeatedAtTheEndOfItsKeysTime() {
+        for (long waits : new long[] {500, 1500}) { // of 2 s, of which the first half is used
+            Head head = new Head().start(1);
+            head.ask(900, 0, KEYED, PLAIN, 2, 3000, 900);
+            int id = 0;
+            while (head.count("send") == id + 1) {
+                head.ask(++id, 0, WRITE, PLAIN, 2, 3000, id);
+            }
+            head.end(1, 0, 0, Status.FULL, 1); // the node rests a little
+            head.end(900, 0, 0, Status.RESET, 1);
+            assertEquals(1, head.count("send 900"), "held while its node rests");
+            head.now += waits * Head.MS; // the head itself had no time meanwhile
+            for (int done = 2; done < id; done++) {
+                head.end(done, 0, 0, Status.OK, 40);
+            }
+            assertEquals(waits < 1000 ? 2 : 1, head.count("send 900"));
+            assertEquals(waits < 1000 ? 0 : 1, head.count("fail 900"));
+        }
+    }
+
     @Test
     void keyedNewObjectIsRepeatedAtTheSameNode() {
         Head head = new Head().start(4);
