Say at the start when SIGHUP will not be heard, as under nohup

The program can't undo it (the JVM does not install its handler, a shell may not reset an ignored signal), so it warns. Lines: Signals.onHangUp, Main.serve. Test: MainTest.aStartWithTheSignalIgnoredSaysThatNothingWillBeReloaded.

--- a/src/main/java/cypressglade/cli/Main.java
+++ b/src/main/java/cypressglade/cli/Main.java
@@ -28,6 +28,7 @@
 
 /** The command line. */
 public final class Main {
+    private static final System.Logger LOG = System.getLogger(Main.class.getName());
     private static final int OK = 0;
     private static final int FAILED = 1;
     private static final int USAGE = 2;
@@ -160,7 +161,10 @@
 
     private static int serve(ServeCommand command, PrintStream out) throws ConfigException, IOException {
         Reload reload = new Reload(command);
-        Signals.onHangUp(reload);
+        if (!Signals.onHangUp(reload)) {
+            LOG.log(System.Logger.Level.WARNING, "SIGHUP is ignored by whoever started this program, as by"
+                    + " nohup: no new configuration is read; start it with the signal at its default");
+        }
         Config config = command.read();
         Rehearsal.play(config);
         return serve(new Serve(config, command.readFiles(config)), reload, out);
--- a/src/main/java/cypressglade/cli/Signals.java
+++ b/src/main/java/cypressglade/cli/Signals.java
@@ -9,8 +9,13 @@
 final class Signals {
     private Signals() { }
 
-    /** Runs an action on each SIGHUP, which would end the program otherwise. */
-    static void onHangUp(Runnable action) {
+    /**
+     * Runs an action on each SIGHUP, which would end the program otherwise.
+     *
+     * @return false where none will be heard: the JVM leaves a signal alone that was ignored when the program
+     *     was started, as by nohup, and its processes inherit that
+     */
+    static boolean onHangUp(Runnable action) {
         try {
             Class<?> signal = Class.forName("sun.misc.Signal");
             Class<?> handler = Class.forName("sun.misc.SignalHandler");
@@ -23,8 +28,9 @@
                         return method.getName().equals("equals") ? (Object) (proxy == arguments[0])
                                 : System.identityHashCode(action); // the JVM puts it into a table
                     });
-            signal.getMethod("handle", signal, handler).invoke(null,
+            Object before = signal.getMethod("handle", signal, handler).invoke(null,
                     signal.getConstructor(String.class).newInstance("HUP"), calls);
+            return before != handler.getField("SIG_IGN").get(null);
         } catch (ReflectiveOperationException missing) {
             throw new IllegalStateException("this JVM handles no signals", missing);
         }
--- a/src/test/java/cypressglade/cli/MainTest.java
+++ b/src/test/java/cypressglade/cli/MainTest.java
@@ -101,6 +101,21 @@
         }
     }
 
+    /** Guards against reloads that are lost without a word: a JVM leaves a signal alone that its starter ignored. */
+    @Test
+    void aStartWithTheSignalIgnoredSaysThatNothingWillBeReloaded() throws Exception {
+        Process process = new ProcessBuilder("/bin/sh", "-c", "trap '' HUP; exec \"$0\" \"$@\"",
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
+                System.getProperty("java.class.path"), Main.class.getName(), "serve", "--config",
+                "deploy/config.example.json").redirectErrorStream(true).start();
+        try (var lines = process.inputReader()) {
+            assertThat(lines.lines().takeWhile(line -> !line.startsWith("listening on "))
+                    .anyMatch(line -> line.contains("SIGHUP is ignored"))).isTrue();
+        } finally {
+            process.destroyForcibly();
+        }
+    }
+
     private static void hangUp(Process process) throws Exception {
         assertThat(new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor()).isZero();
     }
