--- a/src/main/java/cypressglade/cli/Serve.java
+++ b/src/main/java/cypressglade/cli/Serve.java
@@ -46,7 +46,7 @@
     private static final Duration LOOK = Duration.ofMillis(10);
     private static final Duration SETTLE = Duration.ofMillis(50);
     /** For clients to end their side once we have ended ours; before the kill. */
-    private static final Duration PARTING = Duration.ofMillis(200);
+    private static final Duration LINGER = Duration.ofMillis(200);
     /** The front asks for the health ten times a second and sends no new connection 0.2 s after a no. */
     private static final Duration FRONT_TURNED = Duration.ofMillis(300);
     /**
@@ -310,7 +310,7 @@
         while (pool.open() > 0 && Time.now().isBefore(last)) {
             Thread.sleep(LOOK.toMillis());
         }
-        while (clients.connected() > 0 && Time.now().isBefore(served.plus(PARTING))) {
+        while (clients.connected() > 0 && Time.now().isBefore(served.plus(LINGER))) {
             Thread.sleep(LOOK.toMillis());
         }
         Thread.sleep(SETTLE.toMillis());
--- a/src/main/java/cypressglade/http/ClientListener.java
+++ b/src/main/java/cypressglade/http/ClientListener.java
@@ -74,8 +74,8 @@
     private static final Duration SWEEP_CROWD = Duration.ofMillis(20);
     /** From the last look at a connection to its close, so that what has come by then is still read. */
     private static final Duration LAST_LOOK = Duration.ofMillis(2);
-    /** What a client may send ahead of time; more is not read, nor a leave behind that seen, till then. */
-    private static final int MOST_AHEAD = 16 * 1024;
+    /** What a client may send ahead of time; more is not read, nor a leave behind it seen, till its turn. */
+    private static final int MOST_PIPELINED = 16 * 1024;
     /** For those in the backlog to be accepted before the listener closes. */
     private static final Duration LAST_ACCEPTS = Duration.ofMillis(20);
     /** When a connection may make way for others: one that was used, and one that never said anything. */
@@ -113,12 +113,12 @@
     private Instant last = Instant.MAX;
     private boolean leaving;
     private boolean portLeft;
-    private volatile int connected; // clients and those that are being parted from, for other threads
+    private volatile int connected; // clients and those that are being closed in order, for other threads
 
     /** A client connection: since when nothing is open on it, and what room its body takes while it comes. */
     private static final class Client {
         private final StreamConnection connection;
-        private final Parting parting;
+        private final LingeringClose lingering;
         private Instant since = Time.now();
         private boolean coming; // part of a request is here
         private boolean open;
@@ -126,12 +126,12 @@
         private boolean writing;
         private boolean closing;
         private int receiving;
-        private int ahead;
+        private int pipelined;
         private int answering;
 
         private Client(StreamConnection connection) {
             this.connection = connection;
-            parting = new Parting(connection);
+            lingering = new LingeringClose(connection);
             ConduitStreamSourceChannel source = connection.getSourceChannel();
             source.setConduit(new HeardSourceConduit(source.getConduit(), this::heard));
         }
@@ -259,7 +259,7 @@
         loop.execute(() -> clients.values().stream().filter(Client::idle).forEach(this::closeUnlessAsked));
     }
 
-    /** Connections of clients that are not closed yet, be it that they are being parted from. */
+    /** Connections of clients that are not closed yet, though it may have begun. */
     public int connected() {
         return connected;
     }
@@ -340,7 +340,7 @@
                 .forEach(this::closeUnlessAsked);
         List.copyOf(clients.values()).stream()
                 .filter(client -> client.coming && !client.open && !client.writing)
-                .filter(client -> client.since.isBefore(oldest)).forEach(this::part);
+                .filter(client -> client.since.isBefore(oldest)).forEach(this::closeInOrder);
         loop.after(crowded() ? SWEEP_CROWD : SWEEP, this::sweep);
     }
 
@@ -351,23 +351,23 @@
         loop.after(LAST_LOOK, () -> {
             client.closing = false;
             if (client.idle() && client.since.equals(since)) {
-                part(client);
+                closeInOrder(client);
             }
         });
     }
 
     /**
-     * Ends a connection with nothing owed on it. Whoever was never answered can lose nothing by a plain
-     * close, and in a crowd there is no time to part from each.
+     * Ends a connection with nothing owed on it, by a lingering close. Whoever was never answered can lose
+     * nothing by a plain one, and in a crowd there is no time for more.
      */
-    private void part(Client client) {
+    private void closeInOrder(Client client) {
         if (!client.answered) {
             close(client);
             return;
         }
         connected++; // left() takes it away, and the connection stays a little
         left(client);
-        client.parting.start(loop, () -> connected--);
+        client.lingering.start(loop, () -> connected--);
     }
 
     private void close(Client client) {
@@ -384,7 +384,7 @@
     private void left(Client client) {
         received(client);
         answered(client);
-        heldAhead(client, 0);
+        countPipelined(client, 0);
         if (clients.remove(client.connection) != null) {
             connected--;
         }
@@ -392,7 +392,7 @@
 
     private Client client(HttpServerExchange exchange) {
         StreamConnection connection = ((HttpServerConnection) exchange.getConnection()).getChannel();
-        return clients.computeIfAbsent(connection, unknown -> { // parted from just now
+        return clients.computeIfAbsent(connection, unknown -> { // closed just now
             connected++;
             return new Client(unknown);
         });
@@ -545,8 +545,8 @@
     private boolean hasLeft(HttpServerExchange exchange) {
         HttpServerConnection connection = (HttpServerConnection) exchange.getConnection();
         Client client = client(exchange);
-        heldAhead(connection, client); // the framework may have left some of what it read
-        while (client.ahead < MOST_AHEAD && receiving <= budget.receivingBytes()) {
+        countPipelined(connection, client); // the framework may have left some of what it read
+        while (client.pipelined < MOST_PIPELINED && receiving <= budget.receivingBytes()) {
             PooledByteBuffer fresh = connection.getByteBufferPool().allocate();
             int got;
             try {
@@ -558,13 +558,13 @@
                 fresh.close();
                 return got < 0;
             }
-            keepAhead(connection, client, fresh);
+            keepPipelined(connection, client, fresh);
         }
         connection.getOriginalSourceConduit().suspendReads(); // a client that sends so much is still there
         return false;
     }
 
-    private void keepAhead(HttpServerConnection connection, Client client, PooledByteBuffer fresh) {
+    private void keepPipelined(HttpServerConnection connection, Client client, PooledByteBuffer fresh) {
         fresh.getBuffer().flip();
         PooledByteBuffer held = connection.getExtraBytes();
         if (held == null) {
@@ -577,18 +577,18 @@
             fresh.close();
             connection.setExtraBytes(new ImmediatePooledByteBuffer(both));
         }
-        heldAhead(connection, client);
+        countPipelined(connection, client);
     }
 
-    private void heldAhead(HttpServerConnection connection, Client client) {
+    private void countPipelined(HttpServerConnection connection, Client client) {
         PooledByteBuffer held = connection.getExtraBytes();
-        heldAhead(client, held == null ? 0 : held.getBuffer().remaining());
+        countPipelined(client, held == null ? 0 : held.getBuffer().remaining());
     }
 
     /** The one place where the room of what was sent ahead of time is taken and given back. */
-    private void heldAhead(Client client, int bytes) {
-        receiving += bytes - client.ahead;
-        client.ahead = bytes;
+    private void countPipelined(Client client, int bytes) {
+        receiving += bytes - client.pipelined;
+        client.pipelined = bytes;
     }
 
     /** The one place where the room of a body is given back. */
@@ -638,8 +638,8 @@
             answered(client);
             client.since = Time.now();
             client.writing = false;
-            client.coming = client.ahead > 0; // the next request, or a part of it
-            heldAhead(client, 0);
+            client.coming = client.pipelined > 0; // the next request, or a part of it
+            countPipelined(client, 0);
             next.proceed();
         });
         send(exchange, ByteBuffer.wrap(body));
@@ -672,7 +672,7 @@
             connection.getOriginalSinkConduit().write(ByteBuffer.wrap(("HTTP/1.1 " + status + " "
                     + StatusCodes.getReason(status) + "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
                     .getBytes(StandardCharsets.US_ASCII)));
-            part(client);
+            closeInOrder(client);
         } catch (IOException gone) {
             close(client);
         }
--- a/src/main/java/cypressglade/http/Parting.java
+++ b/src/main/java/cypressglade/http/LingeringClose.java
@@ -11,11 +11,11 @@
 import org.xnio.conduits.StreamSourceConduit;
 
 /**
- * A lingering close: the sending side ends first, what still comes is read and dropped, and the connection is
- * closed when the client has ended its side too, or a little later. A close over unread bytes would reset the
- * connection, and an answer that its client has not read yet would go with it. On the I/O thread.
+ * The sending side ends first, what still comes is read and dropped, and the connection is closed when the
+ * client has ended its side too, or a little later. A close over unread bytes would reset the connection, and
+ * an answer that its client has not read yet would go with it. On the I/O thread.
  */
-final class Parting {
+final class LingeringClose {
     private static final Duration MOST = Duration.ofMillis(500);
     private static final int MOST_DROPPED = 256 * 1024;
     private static final int BUFFER = 4 * 1024;
@@ -29,7 +29,7 @@
     private XnioExecutor.Key limit;
 
     /** Of a connection on which nothing was put yet. */
-    Parting(StreamConnection connection) {
+    LingeringClose(StreamConnection connection) {
         this.connection = connection;
         source = connection.getSourceChannel().getConduit();
         sink = connection.getSinkChannel().getConduit();
