Test a client's leave in the handshake with an NBD node, and signals during a stop

NbdFrontTest: nothing begins at the node behind its client's disconnect; it fails where NbdNodeLink does not pass on who waits. MainTest: SIGHUP and a second SIGTERM during a stop neither call it off nor cut it short.

--- a/src/test/java/cypressglade/cli/MainTest.java
+++ b/src/test/java/cypressglade/cli/MainTest.java
@@ -62,6 +62,8 @@
         try (var lines = process.inputReader()) {
             assertThat(lines.readLine()).startsWith("listening on ");
             process.toHandle().destroy(); // unlike the process, leaves its output open
+            hangUp(process); // neither this nor a second signal to stop calls the stop off, or cuts it short
+            process.toHandle().destroy();
             assertThat(lines.lines()).contains("taken 0", "answered_served 0");
             assertThat(process.waitFor()).isZero();
         } finally {
--- a/src/test/java/cypressglade/nbd/NbdFrontTest.java
+++ b/src/test/java/cypressglade/nbd/NbdFrontTest.java
@@ -5,6 +5,7 @@
 import cypressglade.core.Counters.Name;
 import cypressglade.nbd.NbdConfig.Export;
 import cypressglade.nbd.NbdConfig.Extent;
+import cypressglade.core.Counters;
 import cypressglade.standin.NbdPeer;
 import cypressglade.standin.Site;
 import java.io.BufferedOutputStream;
@@ -293,6 +294,22 @@
         assertThat(first.commands).hasSize(1);
     }
 
+    /** Guards against a command that begins behind its client's disconnect, while a node's connection comes up. */
+    @Test
+    void aClientThatLeavesDuringTheHandshakeWithTheNodeGetsNothingBegun() throws Exception {
+        try (Client known = new Client().go("disk", true); Client client = new Client().go("small", true)) {
+            assertThat(known.command(Nbd.CMD_READ, 0, 512)).isZero();
+            first.beforeGo = () -> {
+                client.socket.close();
+                site.ask(Site.request("GET", "/healthz", "", "")); // whose way is longer: the end was read before
+            };
+            client.request(WRITE, 0, 512, new byte[512]);
+            Site.await(() -> site.serve.counters().get(Counters.Name.ENDED_MOOT)
+                    + site.serve.counters().get(Counters.Name.ENDED_CONNECT_FAILED) == 1);
+        }
+        assertThat(first.commands).hasSize(1);
+    }
+
     @Test
     void stoppingSchedulerTurnsHandshakesAwayThenCommands() throws Exception {
         try (Client client = new Client().go("disk", true)) {
