Close each idle connection once at the end of a stop

ClientListener.end called leave, which looks a last time at idle connections that were answered, and then looked at all idle ones, those among them: two timers and two closes for each, of which the second was turned away by LingeringClose. One private leave takes whom it closes now. The method that ends a request whose client has gone is called gone, as three things were called leave.

--- a/src/main/java/cypressglade/http/ClientListener.java
+++ b/src/main/java/cypressglade/http/ClientListener.java
@@ -43,6 +43,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
+import java.util.function.Predicate;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.StreamConnection;
@@ -245,18 +246,20 @@
 
     /** From now on each answer ends its connection, and idle ones are closed. */
     public void leave() {
-        loop.execute(() -> {
-            leaving = true;
-            clients.values().stream().filter(client -> client.idle() && client.answered)
-                    .forEach(this::closeUnlessAsked);
-        });
+        leave(client -> client.answered);
     }
 
     /** The same at the program's end, for all clients and for those who would still come. */
     public void end() {
-        leave();
+        leave(client -> true);
         leavePort();
-        loop.execute(() -> clients.values().stream().filter(Client::idle).forEach(this::closeUnlessAsked));
+    }
+
+    private void leave(Predicate<Client> whom) {
+        loop.execute(() -> {
+            leaving = true;
+            clients.values().stream().filter(Client::idle).filter(whom).forEach(this::closeUnlessAsked);
+        });
     }
 
     /** Connections of clients that are not closed yet, though it may have begun. */
@@ -504,7 +507,7 @@
 
     private void begin(HttpServerExchange exchange, IoRequest request, byte[] body) {
         if (hasLeft(exchange)) { // while its body came, or while an earlier request of its was open
-            leave(exchange);
+            gone(exchange);
             return;
         }
         String target = exchange.getQueryString().isEmpty() ? exchange.getRequestURI()
@@ -529,13 +532,13 @@
         connection.getChannel().getSourceChannel().setReadListener(source -> {
             if (hasLeft(exchange)) {
                 life.clientGone();
-                leave(exchange);
+                gone(exchange);
             }
         });
         connection.getOriginalSourceConduit().resumeReads();
     }
 
-    private void leave(HttpServerExchange exchange) {
+    private void gone(HttpServerExchange exchange) {
         counters.add(Name.GONE);
         IoUtils.safeClose(exchange.getConnection());
         left(client(exchange));
