--- /dev/null
+++ b/src/test/c/faults.c
@@ -0,0 +1,143 @@
+/*
+ * System calls that fail, and a process that is held up, for tests of real schedulers (LD_PRELOAD).
+ *
+ * A fault is on while a file of its name stands in the directory $FAULT_DIR:
+ *   accept   accept fails with ENFILE
+ *   connect  connect fails with EADDRNOTAVAIL
+ *   stall    a thread is held up for 150 ms after a wait of a few ms that no event ended, as a timer's is
+ *   late     a thread is held up for 250 ms between an event and what it does about it, some three times a second
+ *   disk     opening for writing, renaming and syncing fail with ENOSPC or EIO on paths that hold "cypressglade-"
+ *   read     opening the configuration (a path that ends in "config.json") fails with EIO
+ */
+#define _GNU_SOURCE
+#include <dlfcn.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <sys/syscall.h>
+#include <time.h>
+#include <unistd.h>
+
+enum { SHORT_WAIT_MS = 5, STALL_MS = 150, LATE_MS = 250, BETWEEN_MS = 100 };
+
+static int on(const char *fault) {
+    const char *directory = getenv("FAULT_DIR");
+    char path[512];
+    if (directory == NULL) {
+        return 0;
+    }
+    int before = errno;
+    snprintf(path, sizeof path, "%s/%s", directory, fault);
+    int there = syscall(SYS_faccessat, AT_FDCWD, path, F_OK) == 0;
+    errno = before;
+    return there;
+}
+
+static int fail(int with) {
+    errno = with;
+    return -1;
+}
+
+static int kept(const char *path) {
+    return strstr(path, "cypressglade-") != NULL;
+}
+
+static int is_config(const char *path) {
+    const char *end = strstr(path, "config.json");
+    return end != NULL && strlen(end) == strlen("config.json");
+}
+
+int accept(int socket, struct sockaddr *address, socklen_t *length) {
+    int (*real)(int, struct sockaddr *, socklen_t *) = dlsym(RTLD_NEXT, "accept");
+    return on("accept") ? fail(ENFILE) : real(socket, address, length);
+}
+
+int accept4(int socket, struct sockaddr *address, socklen_t *length, int flags) {
+    int (*real)(int, struct sockaddr *, socklen_t *, int) = dlsym(RTLD_NEXT, "accept4");
+    return on("accept") ? fail(ENFILE) : real(socket, address, length, flags);
+}
+
+int connect(int socket, const struct sockaddr *address, socklen_t length) {
+    int (*real)(int, const struct sockaddr *, socklen_t) = dlsym(RTLD_NEXT, "connect");
+    return on("connect") ? fail(EADDRNOTAVAIL) : real(socket, address, length);
+}
+
+static long long now_ms(void) {
+    struct timespec now;
+    clock_gettime(CLOCK_MONOTONIC, &now);
+    return now.tv_sec * 1000LL + now.tv_nsec / 1000000;
+}
+
+static void hold_up(int milliseconds) {
+    int before = errno;
+    usleep(milliseconds * 1000);
+    errno = before;
+}
+
+/* A thread that is held up at every event would do nothing else. */
+static void hold_up_now_and_then(int milliseconds) {
+    static __thread long long last;
+    if (now_ms() - last >= BETWEEN_MS) {
+        hold_up(milliseconds);
+        last = now_ms();
+    }
+}
+
+int epoll_wait(int poll, struct epoll_event *events, int most, int timeout) {
+    int (*real)(int, struct epoll_event *, int, int) = dlsym(RTLD_NEXT, "epoll_wait");
+    int ready = real(poll, events, most, timeout);
+    if (ready == 0 && timeout > 0 && timeout <= SHORT_WAIT_MS && on("stall")) {
+        hold_up(STALL_MS);
+    } else if (ready > 0 && timeout != 0 && on("late")) {
+        hold_up_now_and_then(LATE_MS);
+    }
+    return ready;
+}
+
+static int refused(const char *path, int flags) {
+    int writes = (flags & O_ACCMODE) != O_RDONLY;
+    if (writes && kept(path) && on("disk")) {
+        return ENOSPC;
+    }
+    return !writes && is_config(path) && on("read") ? EIO : 0;
+}
+
+int open(const char *path, int flags, ...) {
+    int (*real)(const char *, int, ...) = dlsym(RTLD_NEXT, "open");
+    va_list more;
+    va_start(more, flags);
+    int mode = va_arg(more, int);
+    va_end(more);
+    int error = refused(path, flags);
+    return error != 0 ? fail(error) : real(path, flags, mode);
+}
+
+int open64(const char *path, int flags, ...) {
+    int (*real)(const char *, int, ...) = dlsym(RTLD_NEXT, "open64");
+    va_list more;
+    va_start(more, flags);
+    int mode = va_arg(more, int);
+    va_end(more);
+    int error = refused(path, flags);
+    return error != 0 ? fail(error) : real(path, flags, mode);
+}
+
+int rename(const char *from, const char *to) {
+    int (*real)(const char *, const char *) = dlsym(RTLD_NEXT, "rename");
+    return kept(to) && on("disk") ? fail(EIO) : real(from, to);
+}
+
+int fsync(int file) {
+    int (*real)(int) = dlsym(RTLD_NEXT, "fsync");
+    return on("disk") ? fail(EIO) : real(file);
+}
+
+int fdatasync(int file) {
+    int (*real)(int) = dlsym(RTLD_NEXT, "fdatasync");
+    return on("disk") ? fail(EIO) : real(file);
+}
