--- a/deploy/run.sh
+++ b/deploy/run.sh
@@ -5,8 +5,7 @@
 # request threads from holding one each. The JVM is told that it has one core, as it has: it would start several
 # compiler threads and wait by spinning otherwise, which on part of a core is time taken from the work. No JMX, which
 # nobody asks and the I/O library would start: there is no builder of the name that is given for it. Shell builtins
-# only, and no subshells: the platform's fleet refuses fork. The clients' port may be shared with the next process of
-# an upgrade (SO_REUSEPORT): the JDK is told of the provider that sets it (net.ReusePort) and lets it reach its own.
+# only, and no subshells: the platform's fleet refuses fork.
 config=${ROUTER_CONFIG:-deploy/config.example.json}
 memory=
 if [ ! -r "$config" ]; then
@@ -27,7 +26,6 @@
 [ "$memory" -lt 256 ] || memory=256
 export MALLOC_ARENA_MAX=1
 exec java -XX:ActiveProcessorCount=1 -Djavax.management.builder.initial=none \
-  --add-exports java.base/sun.nio.ch=ALL-UNNAMED -Djava.nio.channels.spi.SelectorProvider=cypressglade.net.ReusePort \
   -XX:SharedArchiveFile=target/cypressglade.jsa -Xlog:cds=off -Xlog:cds+dynamic=off \
   -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -XX:-UsePerfData -XX:+AlwaysPreTouch \
   -Xms$((memory / 4))m -Xmx$((memory / 4))m -Xss256k -XX:MaxDirectMemorySize=$((memory / 16))m \
--- a/src/main/java/cypressglade/core/RequestLife.java
+++ b/src/main/java/cypressglade/core/RequestLife.java
@@ -167,7 +167,7 @@
         if (!send.limit().isZero() && sent.plus(send.limit()).isBefore(until)) {
             until = sent.plus(send.limit());
         }
-        Attempt out = link.send(send.node(), work, until, () -> !left, ending -> signal(new Ended(ending)));
+        Attempt out = link.send(send.node(), work, until, () -> !left && caller.present(), ending -> signal(new Ended(ending)));
         while (true) {
             Signal signal = await(Instant.MAX);
             if (signal instanceof Ended end) {
--- a/src/main/java/cypressglade/http/ClientListener.java
+++ b/src/main/java/cypressglade/http/ClientListener.java
@@ -11,6 +11,7 @@
 import cypressglade.core.RequestPool;
 import cypressglade.core.Scheduler.Settings;
 import cypressglade.core.Time;
+import cypressglade.net.Listening;
 import cypressglade.net.Loop;
 import cypressglade.storm.Intake;
 import cypressglade.storm.Waves;
@@ -48,7 +49,6 @@
 import org.xnio.OptionMap;
 import org.xnio.StreamConnection;
 import org.xnio.XnioExecutor;
-import org.xnio.conduits.ConduitStreamSourceChannel;
 
 /**
  * Where clients connect. All of it runs on the I/O thread but the request's own task. A connection with
@@ -73,12 +73,8 @@
     private static final Duration RECEIVE_LIMIT = Duration.ofSeconds(2);
     private static final Duration SWEEP = Duration.ofMillis(200);
     private static final Duration SWEEP_CROWD = Duration.ofMillis(20);
-    /** From the last look at a connection to its close, so that what has come by then is still read. */
-    private static final Duration LAST_LOOK = Duration.ofMillis(2);
     /** What a client may send ahead of time; more is not read, nor a leave behind it seen, till its turn. */
     private static final int MOST_PIPELINED = 16 * 1024;
-    /** For those in the backlog to be accepted before the listener closes. */
-    private static final Duration LAST_ACCEPTS = Duration.ofMillis(20);
     /** When a connection may make way for others: one that was used, and one that never said anything. */
     private static final Duration RESTED = Duration.ofSeconds(1);
     private static final Duration SILENT = Duration.ofMillis(100);
@@ -99,9 +95,9 @@
     private final RequestPool pool;
     private final NodeLink<HttpWork> link;
     private final BooleanSupplier ready;
-    private final Map<StreamConnection, Client> clients = new HashMap<>();
+    private final Map<StreamConnection, ClientConnection> clients = new HashMap<>();
     private final TraceIds ids = new TraceIds();
-    private Loop.Listening listening;
+    private Listening listening;
     private RequestParser parser;
     private Budget budget;
     private int receiving;
@@ -116,44 +112,6 @@
     private boolean portLeft;
     private volatile int connected; // clients and those that are being closed in order, for other threads
 
-    /** A client connection: since when nothing is open on it, and what room its body takes while it comes. */
-    private static final class Client {
-        private final StreamConnection connection;
-        private final LingeringClose lingering;
-        private Instant since = Time.now();
-        private boolean coming; // part of a request is here
-        private boolean open;
-        private boolean answered; // a request, not just a look at the health
-        private boolean writing;
-        private boolean closing;
-        private int receiving;
-        private int pipelined;
-        private int answering;
-
-        private Client(StreamConnection connection) {
-            this.connection = connection;
-            lingering = new LingeringClose(connection);
-            ConduitStreamSourceChannel source = connection.getSourceChannel();
-            source.setConduit(new HeardSourceConduit(source.getConduit(), this::heard));
-        }
-
-        /**
-         * Bytes came. A client that has been answered may begin its next request at the end of its rest, and
-         * write it slowly; one that has not has its time from the connect, whatever it sends.
-         */
-        private void heard() {
-            if (!open && !coming) {
-                coming = true;
-                since = answered ? Time.now() : since;
-            }
-        }
-
-        /** Whether nothing is owed on it: no request is coming or open, and no answer is on its way. */
-        private boolean idle() {
-            return !coming && !open && !writing;
-        }
-    }
-
     public ClientListener(Loop loop, Settings settings, Engine engine, Counters counters, RequestPool pool,
             NodeLink<HttpWork> link, BooleanSupplier ready, Budget budget, Optional<Waves> waves) {
         this.waves = waves;
@@ -177,7 +135,7 @@
     public void start(InetSocketAddress address) throws IOException {
         listening = loop.share(address, this::accept); // an upgrade's next process listens beside
         listening.bound(budget.clientConnections() + CROSSING);
-        listening.channel().resumeAccepts();
+        listening.resume();
         loop.execute(this::sweep);
         loop.execute(() -> pace(Time.now()));
     }
@@ -196,7 +154,7 @@
         }
         if (accepted != acceptedAtOnce && !portLeft) {
             acceptedAtOnce = accepted;
-            bound(accepted + CROSSING);
+            listening.bound(accepted + CROSSING);
         }
         // Few are never too many; but a wave may begin with any number.
         Duration wait = clients.size() < LEAST_CLIENTS && waves.isEmpty() ? SWEEP : PACE;
@@ -204,14 +162,6 @@
         loop.after(wait, () -> pace(then));
     }
 
-    private void bound(int most) {
-        try {
-            listening.bound(most);
-        } catch (IOException closed) {
-            LOG.log(System.Logger.Level.WARNING, "the bound on clients stays", closed);
-        }
-    }
-
     /** Clients that are worked on at once: by the budget, and fewer where this thread runs late. */
     private int mostClients() {
         return Math.min(atOnce, budget.clientConnections());
@@ -255,10 +205,10 @@
         leavePort();
     }
 
-    private void leave(Predicate<Client> whom) {
+    private void leave(Predicate<ClientConnection> whom) {
         loop.execute(() -> {
             leaving = true;
-            clients.values().stream().filter(Client::idle).filter(whom).forEach(this::closeUnlessAsked);
+            List.copyOf(clients.values()).stream().filter(whom).forEach(this::closeIfAtRest);
         });
     }
 
@@ -276,8 +226,7 @@
         loop.execute(() -> {
             if (!portLeft) {
                 portLeft = true;
-                bound(budget.clientConnections() + CROSSING);
-                loop.after(LAST_ACCEPTS, listening::close);
+                listening.acceptWaitingAndClose();
             }
         });
     }
@@ -299,7 +248,7 @@
     public void accept(StreamConnection connection) {
         came++;
         connected++;
-        clients.put(connection, new Client(connection));
+        clients.put(connection, new ClientConnection(connection));
         makeRoom();
         http.handleEvent(connection);
     }
@@ -316,13 +265,13 @@
         }
         forgetClosed();
         Instant now = Time.now();
-        clients.values().stream().filter(client -> client.idle() && !client.closing && !client.answered)
-                .filter(client -> client.since.isBefore(now.minus(SILENT))).forEach(this::closeUnlessAsked);
-        clients.values().stream().filter(client -> client.idle() && !client.closing && client.answered)
+        List.copyOf(clients.values()).stream().filter(client -> client.idle() && !client.answered)
+                .filter(client -> client.since.isBefore(now.minus(SILENT))).forEach(this::closeIfAtRest);
+        List.copyOf(clients.values()).stream().filter(client -> client.idle() && client.answered)
                 .filter(client -> client.since.isBefore(now.minus(RESTED)))
                 .sorted(Comparator.comparing(client -> client.since))
                 .limit(Math.max(0, clients.size() - mostClients() + CROSSING))
-                .forEach(this::closeUnlessAsked);
+                .forEach(this::closeIfAtRest);
     }
 
     private boolean crowded() {
@@ -338,32 +287,27 @@
         Instant unread = Time.now().minus(READING);
         List.copyOf(clients.values()).stream().filter(client -> client.writing)
                 .filter(client -> client.since.isBefore(unread)).forEach(this::close);
-        clients.values().stream().filter(client -> client.idle() && client.since.isBefore(oldest))
+        List.copyOf(clients.values()).stream().filter(client -> client.since.isBefore(oldest))
                 .filter(client -> leaving || last.equals(Instant.MAX) || !client.answered)
-                .forEach(this::closeUnlessAsked);
+                .forEach(this::closeIfAtRest);
         List.copyOf(clients.values()).stream()
                 .filter(client -> client.coming && !client.open && !client.writing)
                 .filter(client -> client.since.isBefore(oldest)).forEach(this::closeInOrder);
         loop.after(crowded() ? SWEEP_CROWD : SWEEP, this::sweep);
     }
 
-    /** Closes a connection unless its next request is here already. */
-    private void closeUnlessAsked(Client client) {
-        Instant since = client.since;
-        client.closing = true;
-        loop.after(LAST_LOOK, () -> {
-            client.closing = false;
-            if (client.idle() && client.since.equals(since)) {
-                closeInOrder(client);
-            }
-        });
+    /** Closes a connection on which nothing is owed; one whose next request is here already is read instead. */
+    private void closeIfAtRest(ClientConnection client) {
+        if (client.idle() && !client.hasUnread()) {
+            closeInOrder(client);
+        }
     }
 
     /**
      * Ends a connection with nothing owed on it, by a lingering close. Whoever was never answered can lose
      * nothing by a plain one, and in a crowd there is no time for more.
      */
-    private void closeInOrder(Client client) {
+    private void closeInOrder(ClientConnection client) {
         if (!client.answered) {
             close(client);
             return;
@@ -373,7 +317,7 @@
         client.lingering.start(loop, () -> connected--);
     }
 
-    private void close(Client client) {
+    private void close(ClientConnection client) {
         IoUtils.safeClose(client.connection);
         left(client);
     }
@@ -384,7 +328,7 @@
     }
 
     /** The one place where what a connection holds here is given back. */
-    private void left(Client client) {
+    private void left(ClientConnection client) {
         received(client);
         answered(client);
         countPipelined(client, 0);
@@ -393,17 +337,17 @@
         }
     }
 
-    private Client client(HttpServerExchange exchange) {
+    private ClientConnection client(HttpServerExchange exchange) {
         StreamConnection connection = ((HttpServerConnection) exchange.getConnection()).getChannel();
         return clients.computeIfAbsent(connection, unknown -> { // closed just now
             connected++;
-            return new Client(unknown);
+            return new ClientConnection(unknown);
         });
     }
 
     private void handle(HttpServerExchange exchange) {
         Instant arrived = Time.now();
-        Client client = client(exchange);
+        ClientConnection client = client(exchange);
         client.coming = false;
         if (client.answered) { // the time of the first request is counted from the connect
             client.since = arrived;
@@ -467,7 +411,7 @@
      */
     private final class Receipt {
         private final HttpServerExchange exchange;
-        private final Client client;
+        private final ClientConnection client;
         private final XnioExecutor.Key limit;
         private boolean over;
 
@@ -478,6 +422,7 @@
             if (!whole) {
                 counters.add(Name.BODIES_AWAITED);
             }
+            client.bodyAwaited = !whole;
             long told = exchange.getRequestContentLength();
             client.receiving = 2 * (int) (whole ? 0 : told >= 0 ? told : MOST_BODY);
             receiving += client.receiving;
@@ -493,6 +438,7 @@
             }
             over = true;
             limit.remove();
+            client.bodyAwaited = false;
             received(client);
             return true;
         }
@@ -547,7 +493,7 @@
     /** Reads all that is here, keeps it for the next requests, and tells whether the client has left. */
     private boolean hasLeft(HttpServerExchange exchange) {
         HttpServerConnection connection = (HttpServerConnection) exchange.getConnection();
-        Client client = client(exchange);
+        ClientConnection client = client(exchange);
         countPipelined(connection, client); // the framework may have left some of what it read
         while (client.pipelined < MOST_PIPELINED && receiving <= budget.receivingBytes()) {
             PooledByteBuffer fresh = connection.getByteBufferPool().allocate();
@@ -567,7 +513,7 @@
         return false;
     }
 
-    private void keepPipelined(HttpServerConnection connection, Client client, PooledByteBuffer fresh) {
+    private void keepPipelined(HttpServerConnection connection, ClientConnection client, PooledByteBuffer fresh) {
         fresh.getBuffer().flip();
         PooledByteBuffer held = connection.getExtraBytes();
         if (held == null) {
@@ -583,19 +529,19 @@
         countPipelined(connection, client);
     }
 
-    private void countPipelined(HttpServerConnection connection, Client client) {
+    private void countPipelined(HttpServerConnection connection, ClientConnection client) {
         PooledByteBuffer held = connection.getExtraBytes();
         countPipelined(client, held == null ? 0 : held.getBuffer().remaining());
     }
 
     /** The one place where the room of what was sent ahead of time is taken and given back. */
-    private void countPipelined(Client client, int bytes) {
+    private void countPipelined(ClientConnection client, int bytes) {
         receiving += bytes - client.pipelined;
         client.pipelined = bytes;
     }
 
     /** The one place where the room of a body is given back. */
-    private void received(Client client) {
+    private void received(ClientConnection client) {
         receiving -= client.receiving;
         client.receiving = 0;
     }
@@ -607,13 +553,13 @@
     }
 
     /** The one place where the room of an answer is given back. */
-    private void answered(Client client) {
+    private void answered(ClientConnection client) {
         answering -= client.answering;
         client.answering = 0;
     }
 
     private void answer(HttpServerExchange exchange, int status, byte[] body) {
-        Client client = client(exchange);
+        ClientConnection client = client(exchange);
         if (!client.connection.isOpen()) { // the client left just now
             left(client);
             return;
@@ -669,7 +615,7 @@
      * Answers a request whose body is not all read, and ends its connection. Guards against reading 60 MB, or
      * waiting for what never comes, before the answer can be whole.
      */
-    private void answerUnread(HttpServerConnection connection, Client client, int status) {
+    private void answerUnread(HttpServerConnection connection, ClientConnection client, int status) {
         client.answered = true;
         try {
             connection.getOriginalSinkConduit().write(ByteBuffer.wrap(("HTTP/1.1 " + status + " "
@@ -689,6 +635,11 @@
             this.exchange = exchange;
         }
 
+        @Override
+        public boolean present() {
+            return !hasLeft(exchange);
+        }
+
         @Override
         public void served(byte[] answer) {
             loop.execute(() -> answer(exchange, 200, answer));
--- a/src/main/java/cypressglade/nbd/NbdListener.java
+++ b/src/main/java/cypressglade/nbd/NbdListener.java
@@ -10,6 +10,7 @@
 import cypressglade.core.RequestPool;
 import cypressglade.core.Scheduler.Settings;
 import cypressglade.nbd.NbdConfig.Export;
+import cypressglade.net.Listening;
 import cypressglade.net.Loop;
 import cypressglade.net.Wire;
 import java.io.IOException;
@@ -32,7 +33,7 @@
     private final Counters counters;
     private final RequestPool pool;
     private final NodeLink<NbdWork> link;
-    private final Loop.Listening listening;
+    private final Listening listening;
     private final Set<Wire> clients = new HashSet<>();
     private volatile boolean leaving;
     private volatile boolean refusing;
--- a/src/main/java/cypressglade/net/Loop.java
+++ b/src/main/java/cypressglade/net/Loop.java
@@ -3,7 +3,9 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
+import java.nio.channels.ServerSocketChannel;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.RejectedExecutionException;
@@ -11,7 +13,6 @@
 import java.util.function.Consumer;
 import java.util.logging.Level;
 import java.util.logging.Logger;
-import org.xnio.ChannelListeners;
 import org.xnio.ChannelPipe;
 import org.xnio.IoFuture;
 import org.xnio.IoUtils;
@@ -22,7 +23,6 @@
 import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
-import org.xnio.channels.AcceptingChannel;
 
 /** The program's one I/O thread: what runs on it never blocks, and the state of its wires is its alone. */
 public class Loop implements AutoCloseable {
@@ -54,6 +54,10 @@
         return worker;
     }
 
+    XnioIoThread io() {
+        return io;
+    }
+
     /** How late this thread came to what was due, on average lately; on this thread. */
     public Duration lateness() {
         return lateness;
@@ -133,36 +137,35 @@
 
     /** Listens; each connection is handed over on this thread. */
     public Listening listen(InetSocketAddress address, Consumer<Wire> accepted) throws IOException {
-        Listening listening = bind(address, up -> accepted.accept(new Wire(this, up)));
-        listening.channel().resumeAccepts();
+        Listening listening = bind(address, false, up -> accepted.accept(new Wire(this, up)));
+        listening.resume();
         return listening;
     }
 
-    /** Binds a listener that hands over each connection on this thread, once it is told to accept. */
-    public Listening bind(InetSocketAddress address, Consumer<StreamConnection> accepted) throws IOException {
-        return bind(address, accepted, false);
-    }
-
     /**
-     * Binds a listener that another process may share, as an upgrade wants it, where {@link ReusePort} is
-     * installed; alone on its port where not.
+     * Binds a listener that another process may share (SO_REUSEPORT), as an upgrade wants it; it hands over each
+     * connection on this thread, once it is told to accept.
      */
     public Listening share(InetSocketAddress address, Consumer<StreamConnection> accepted)
             throws IOException {
-        return bind(address, accepted, true);
-    }
-
-    private Listening bind(InetSocketAddress address, Consumer<StreamConnection> accepted, boolean shared)
-            throws IOException {
-        return shared ? ReusePort.sharing(() -> open(address, accepted)) : open(address, accepted);
+        return bind(address, true, accepted);
     }
 
-    private Listening open(InetSocketAddress address, Consumer<StreamConnection> accepted)
+    private Listening bind(InetSocketAddress address, boolean shared, Consumer<StreamConnection> accepted)
             throws IOException {
-        return new Listening(worker.createStreamConnectionServer(address,
-                ChannelListeners.openListenerAdapter(up -> execute(() -> accepted.accept(up))),
-                OptionMap.builder().addAll(TCP).set(Options.REUSE_ADDRESSES, true)
-                        .set(Options.BACKLOG, BACKLOG).getMap()));
+        ServerSocketChannel channel = ServerSocketChannel.open();
+        try {
+            channel.configureBlocking(false);
+            channel.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+            if (shared) {
+                channel.setOption(StandardSocketOptions.SO_REUSEPORT, true);
+            }
+            channel.bind(address, BACKLOG);
+            return new Listening(this, channel, accepted);
+        } catch (IOException taken) {
+            IoUtils.safeClose(channel);
+            throw taken;
+        }
     }
 
     /** Opens a UDP socket. */
@@ -179,23 +182,4 @@
     public interface Dial {
         void cancel();
     }
-
-    /** An open listener. */
-    public record Listening(AcceptingChannel<StreamConnection> channel) implements AutoCloseable {
-        /** Accepts no more than so many at a time; whoever comes beyond that waits in the backlog. */
-        public void bound(int most) throws IOException {
-            channel.setOption(Options.CONNECTION_LOW_WATER, 0);
-            channel.setOption(Options.CONNECTION_HIGH_WATER, most);
-            channel.setOption(Options.CONNECTION_LOW_WATER, most);
-        }
-
-        public InetSocketAddress address() {
-            return channel.getLocalAddress(InetSocketAddress.class);
-        }
-
-        @Override
-        public void close() {
-            IoUtils.safeClose(channel);
-        }
-    }
 }
--- a/src/main/java/cypressglade/peer/TransferServer.java
+++ b/src/main/java/cypressglade/peer/TransferServer.java
@@ -1,5 +1,6 @@
 package cypressglade.peer;
 
+import cypressglade.net.Listening;
 import cypressglade.net.Loop;
 import cypressglade.net.Wire;
 import java.io.IOException;
@@ -23,7 +24,7 @@
     private final Loop loop;
     private final SecureRandom random;
     private final Handler handler;
-    private final Loop.Listening listening;
+    private final Listening listening;
     private final Set<Wire> open = new HashSet<>();
 
     /** Makes answers; called on the I/O thread, which it must not hold up. */
--- a/src/test/java/cypressglade/cli/UpgradeTest.java
+++ b/src/test/java/cypressglade/cli/UpgradeTest.java
@@ -45,8 +45,7 @@
     /** Starts {@code serve} as deploy/run.sh does it, and waits for its door; fails where it does not come. */
     private void serve(Path config, int door) throws IOException {
         ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java")
-                .toString(), "--add-exports", "java.base/sun.nio.ch=ALL-UNNAMED",
-                "-Djava.nio.channels.spi.SelectorProvider=cypressglade.net.ReusePort", "-Xmx64m", "-cp",
+                .toString(), "-Xmx64m", "-cp",
                 System.getProperty("java.class.path"), Main.class.getName(), "serve").redirectErrorStream(true);
         builder.environment().put("ROUTER_CONFIG", config.toString());
         builder.environment().put("ROUTER_OPERATOR", "127.0.0.1:" + door);
