Start and keep bans on a failing disk, tell upgrades by locks, read starts under stepped clocks

Doorway's constructor passed any IOException (mark, lock, directory) on to main, which ended the process; a ban whose write failed was never written; bans written before the wall clock stepped back were FROM_THE_FUTURE and dropped; a dead newcomer's mark counted as live when its pid was used again (pids run to 32,768, threads count); a ban given to one process of an upgrade was unknown to the other; started_ms was compared with a clock that a step of the wall clock does not move, so cold nodes passed for warm. Change: BanFile (retried, taken over), UpgradeMark (locked while its process lives), StartTimes, Retry for addresses and sockets at the start, PatientRead for configuration files.

--- a/src/main/java/cypressglade/cli/Doorway.java
+++ b/src/main/java/cypressglade/cli/Doorway.java
@@ -2,29 +2,24 @@
 
 import cypressglade.control.DoorServer;
 import cypressglade.core.Time;
+import cypressglade.net.Retry;
 import cypressglade.operate.Door;
 import cypressglade.operate.Handover;
 import cypressglade.operate.HandDrains;
 import cypressglade.operate.HandDrains.Kind;
 import cypressglade.operate.HandDrains.Result;
-import cypressglade.snapshot.SnapshotStore;
 import java.io.IOException;
 import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
 import java.nio.channels.FileChannel;
 import java.nio.channels.FileLock;
 import java.nio.channels.OverlappingFileLockException;
-import java.nio.charset.StandardCharsets;
-import java.nio.file.DirectoryStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
 import java.nio.file.attribute.PosixFilePermissions;
-import java.time.Instant;
-import java.util.Arrays;
-import java.util.List;
+import java.time.Duration;
 import java.util.Optional;
-import java.util.function.Predicate;
 
 /**
  * What the operators' door acts on in a running scheduler: bans, kept in a directory that an upgrade shares
@@ -33,8 +28,8 @@
  */
 final class Doorway implements Door.Acts, AutoCloseable {
     private static final System.Logger LOG = System.getLogger(Doorway.class.getName());
-    private static final String COMING = "coming.";
-    private static final String SERVING = "takes clients";
+    /** How long an address that is taken, or a machine without room for a socket, is tried again at the start. */
+    private static final Duration BIND_LIMIT = Duration.ofSeconds(5);
 
     /** What the door may turn in the scheduler. */
     interface Scheduler {
@@ -53,19 +48,22 @@
 
     private final HandDrains drains;
     private final Scheduler scheduler;
-    private final SnapshotStore store;
+    private final BanFile bans;
     private final DoorServer server;
     private final Path directory;
-    private final FileChannel serving;
-    private final Path mark;
+    private Optional<FileChannel> serving = Optional.empty();
+    private Optional<UpgradeMark> mark = Optional.empty();
     private FileLock lock;
     private int processes = 1;
+    private boolean takesClients;
+    private String failing = "";
 
     /**
-     * Takes the bans that were kept, and binds the door; it answers from {@link #start} on.
+     * Takes the bans that were kept, and binds the door; it answers from {@link #start} on. A disk that fails keeps
+     * nobody from starting: what it refuses is tried again at each look.
      *
      * @param name the scheduler's name, which its next process has too
-     * @throws IOException where the address is taken or the directory cannot be had
+     * @throws IOException where the address is taken
      */
     Doorway(InetSocketAddress address, String name, String temporary, HandDrains drains, Scheduler scheduler)
             throws IOException {
@@ -73,72 +71,78 @@
         this.scheduler = scheduler;
         directory = Path.of(temporary == null || temporary.isBlank() ? "/tmp" : temporary,
                 "cypressglade-" + name.replaceAll("[^A-Za-z0-9._-]", "_"));
-        if (!Files.isDirectory(directory)) {
-            Files.createDirectories(directory, PosixFilePermissions.asFileAttribute(
-                    PosixFilePermissions.fromString("rwx------")));
-        }
-        store = new SnapshotStore(directory, "bans");
-        store.newest(Instant.now(), SnapshotStore.ANY_AGE, // bans hold however long the scheduler was away
-                found -> new String(found.body(), StandardCharsets.UTF_8),
-                (found, why) -> LOG.log(Level.WARNING, "{0} is ignored: {1}", found.file(), why))
-                .ifPresent(body -> drains.restoreBans(
-                        Arrays.stream(body.split("\n")).filter(id -> !id.isBlank()).toList()));
-        serving = FileChannel.open(directory.resolve("serving.lock"), StandardOpenOption.CREATE,
-                StandardOpenOption.WRITE);
-        // The pid tells whether its process lives; the number apart tells two in one JVM apart, as in tests.
-        mark = directory.resolve(COMING + ProcessHandle.current().pid() + "." + System.nanoTime());
-        lock = tryLock();
-        if (lock == null) { // another process serves as this scheduler: an upgrade hands over
-            Files.writeString(mark, "");
-        }
-        look();
-        server = new DoorServer(address, new Door(this), this::look, Time::now);
+        bans = new BanFile(directory, drains);
+        bans.restore();
+        lookAtOthers();
+        server = Retry.untilDone(BIND_LIMIT, "operators' door",
+                () -> new DoorServer(address, new Door(this), this::look, Time::now));
     }
 
-    /** The lock where no other holds it; another in this JVM counts as another process, as in tests. */
-    private FileLock tryLock() throws IOException {
-        try {
-            return serving.tryLock();
-        } catch (OverlappingFileLockException heldHere) {
-            return null;
-        }
+    /** What is due now and then, on the door's thread. */
+    private synchronized void look() {
+        lookAtOthers();
+        bans.look(processes > 1);
     }
 
-    /** Whether this process serves alone, on the door's thread: the lock once it is free, marks of others. */
-    private void look() {
+    /**
+     * Whether this process serves alone: the lock once it is free, and marks of others. Where the disk does not tell,
+     * the last answer stands.
+     */
+    private void lookAtOthers() {
         try {
-            if (lock == null && (lock = tryLock()) != null) {
-                Files.deleteIfExists(mark);
+            if (lock == null) {
+                takeLockOrMark();
             }
-            int now = Handover.processes(lock != null, newcomer(other -> true));
+            int now = Handover.processes(lock != null, UpgradeMark.other(directory, mark).isPresent());
             if (now != processes) {
                 processes = now;
                 LOG.log(Level.INFO, "processes serving as this scheduler: {0}", now);
                 scheduler.beside(now);
             }
-        } catch (IOException | NumberFormatException unusable) {
-            LOG.log(Level.WARNING, "whether an upgrade hands over is not known: " + unusable.getMessage());
+            failing = "";
+        } catch (IOException unusable) {
+            if (!failing.equals(unusable.toString())) { // told once, not at each look
+                failing = unusable.toString();
+                LOG.log(Level.WARNING, "whether an upgrade hands over is not known: {0}", failing);
+            }
         }
     }
 
-    /** Whether another process that lives has left a mark, and one of that kind. */
-    private boolean newcomer(Predicate<Path> kind) throws IOException {
-        boolean found = false;
-        try (DirectoryStream<Path> marks = Files.newDirectoryStream(directory, COMING + "*")) {
-            for (Path other : marks) {
-                String name = other.getFileName().toString();
-                long pid = Long.parseLong(name.substring(COMING.length(), name.lastIndexOf('.')));
-                if (other.equals(mark)) {
-                    continue;
-                }
-                if (ProcessHandle.of(pid).isPresent()) {
-                    found |= kind.test(other);
-                } else {
-                    Files.deleteIfExists(other); // of one that died while it started
-                }
+    /** The lock says who serves, a mark who comes beside; whoever gets the lock needs no mark. */
+    private void takeLockOrMark() throws IOException {
+        if (!Files.isDirectory(directory)) {
+            Files.createDirectories(directory, PosixFilePermissions.asFileAttribute(
+                    PosixFilePermissions.fromString("rwx------")));
+        }
+        if (serving.isEmpty()) {
+            serving = Optional.of(FileChannel.open(directory.resolve("serving.lock"), StandardOpenOption.CREATE,
+                    StandardOpenOption.WRITE));
+        }
+        lock = tryLock(serving.get());
+        if (lock != null) {
+            removeMark();
+        } else if (mark.isEmpty()) { // another process serves as this scheduler: an upgrade hands over
+            mark = Optional.of(UpgradeMark.leave(directory));
+            if (takesClients) {
+                mark.get().serving();
             }
         }
-        return found;
+    }
+
+    /** The lock where no other holds it; another in this JVM counts as another process, as in tests. */
+    private static FileLock tryLock(FileChannel channel) throws IOException {
+        try {
+            return channel.tryLock();
+        } catch (OverlappingFileLockException heldHere) {
+            return null;
+        }
+    }
+
+    private void removeMark() throws IOException {
+        if (mark.isPresent()) {
+            mark.get().close();
+            mark = Optional.empty();
+        }
     }
 
     void start() {
@@ -146,10 +150,11 @@
     }
 
     /** This process takes clients from now on: one that it relieves may see that in its mark. */
-    void serving() {
+    synchronized void serving() {
+        takesClients = true;
         try {
-            if (Files.exists(mark)) {
-                Files.writeString(mark, SERVING, StandardOpenOption.TRUNCATE_EXISTING);
+            if (mark.isPresent()) {
+                mark.get().serving();
             }
         } catch (IOException full) {
             LOG.log(Level.WARNING, "the process beside will not see that this one serves", full);
@@ -157,16 +162,11 @@
     }
 
     /** Whether a process beside this one takes clients on the same port; from any thread. */
-    boolean relieved() {
+    synchronized boolean relieved() {
         try {
-            return newcomer(other -> {
-                try {
-                    return Files.readString(other).equals(SERVING);
-                } catch (IOException gone) {
-                    return false; // it was relieved itself, or has ended, since the look at the directory
-                }
-            });
-        } catch (IOException | NumberFormatException unusable) {
+            return UpgradeMark.other(directory, mark).filter(UpgradeMark.Other::serving).isPresent();
+        } catch (IOException unusable) {
+            LOG.log(Level.WARNING, "whether a process beside takes clients is not known: {0}", unusable.toString());
             return false;
         }
     }
@@ -190,16 +190,10 @@
         return kept(drains.include(node));
     }
 
-    private Result kept(Result result) {
+    private synchronized Result kept(Result result) {
         if (result.kind() == Kind.DONE) {
-            List<String> bans = drains.bans();
-            try {
-                store.write(String.join("\n", bans).getBytes(StandardCharsets.UTF_8), Instant.now());
-            } catch (IOException full) {
-                // The ban holds in this process all the same; only an upgrade would not see it.
-                LOG.log(Level.WARNING, "bans could not be kept for the next process: " + full.getMessage());
-            }
-            LOG.log(Level.INFO, "bans now {0}", bans);
+            bans.keep();
+            LOG.log(Level.INFO, "bans now {0}", drains.bans());
         }
         return result;
     }
@@ -221,12 +215,16 @@
 
     @Override
     public void close() {
-        server.close();
-        try {
-            Files.deleteIfExists(mark);
-            serving.close(); // and with it the lock, which the process's end would give back too
-        } catch (IOException gone) {
-            LOG.log(Level.DEBUG, "closing the lock", gone);
+        server.close(); // and with it the thread of looks
+        synchronized (this) {
+            try {
+                removeMark();
+                if (serving.isPresent()) {
+                    serving.get().close(); // and with it the lock, which the process's end would give back too
+                }
+            } catch (IOException gone) {
+                LOG.log(Level.DEBUG, "closing the lock", gone);
+            }
         }
     }
 }
--- a/src/main/java/cypressglade/cli/Reload.java
+++ b/src/main/java/cypressglade/cli/Reload.java
@@ -3,11 +3,15 @@
 import cypressglade.config.Config;
 import cypressglade.config.ConfigException;
 import cypressglade.core.Counters;
+import java.time.Duration;
 
 /** The one owner of a reload: reads the files again and hands them on whole, or changes nothing. */
 final class Reload implements Runnable {
     private static final System.Logger LOG = System.getLogger(Reload.class.getName());
 
+    /** What a new configuration tells counts 4 s after the signal. */
+    private static final Duration READ_LIMIT = Duration.ofSeconds(3);
+
     private final Source source;
     private Serve scheduler;
     private boolean early;
@@ -38,9 +42,9 @@
             return;
         }
         try {
-            Config next = source.read();
+            Config next = PatientRead.within(READ_LIMIT, source::read);
             next.checkAfter(scheduler.config());
-            scheduler.use(next, source.readFiles(next));
+            scheduler.use(next, PatientRead.within(READ_LIMIT, () -> source.readFiles(next)));
             scheduler.counters().add(Counters.Name.RELOADS);
             LOG.log(System.Logger.Level.INFO, "reloaded: discovery at {0}", next.discovery());
         } catch (ConfigException unusable) {
--- a/src/main/java/cypressglade/config/Config.java
+++ b/src/main/java/cypressglade/config/Config.java
@@ -6,7 +6,9 @@
 import cypressglade.core.Scheduler.Settings;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.file.AccessDeniedException;
 import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.HashMap;
@@ -68,8 +70,10 @@
     static byte[] bytes(Path path) throws ConfigException {
         try {
             return Files.readAllBytes(path);
+        } catch (NoSuchFileException | AccessDeniedException wrong) {
+            throw new ConfigException(path + ": cannot be read: " + wrong.getClass().getSimpleName());
         } catch (IOException unreadable) {
-            throw new ConfigException(path + ": cannot be read: " + unreadable.getClass().getSimpleName());
+            throw new UnreadableException(path + ": cannot be read: " + unreadable.getClass().getSimpleName());
         }
     }
 
--- a/src/main/java/cypressglade/config/ConfigException.java
+++ b/src/main/java/cypressglade/config/ConfigException.java
@@ -1,7 +1,7 @@
 package cypressglade.config;
 
 /** A configuration that cannot be used; the message names the path and what is wrong there. */
-public final class ConfigException extends Exception {
+public class ConfigException extends Exception {
     private static final long serialVersionUID = 1L;
 
     public ConfigException(String message) {
--- a/src/main/java/cypressglade/core/NodeDirectory.java
+++ b/src/main/java/cypressglade/core/NodeDirectory.java
@@ -21,11 +21,18 @@
  * number given to its id here. The links ask here before the first byte of an attempt.
  */
 public final class NodeDirectory {
-    /** A node that is in the list, and since when it runs. */
-    public record Known(String id, InetSocketAddress address, int cell, State state, Instant started) { }
+    /**
+     * A node that is in the list.
+     *
+     * @param started since when its process runs, as discovery told it: by the wall clock
+     * @param runsSince the same on the clock of {@link Time}
+     */
+    public record Known(String id, InetSocketAddress address, int cell, State state, Instant started,
+            Instant runsSince) { }
 
     private final Map<String, Long> numbers = new HashMap<>();
     private final Map<Long, Known> nodes = new HashMap<>();
+    private final StartTimes starts = new StartTimes();
     private long version;
     private long lastNumber;
 
@@ -37,15 +44,17 @@
         for (NodeList.Entry entry : list.entries()) {
             long number = numbers.computeIfAbsent(entry.id(), id -> ++lastNumber);
             named.add(number);
+            Instant runsSince = starts.onOurClock(entry.id(), entry.started(), Time.now(), Instant.now());
             nodes.put(number, new Known(entry.id(), entry.address(), entry.cell(), entry.state(),
-                    entry.started()));
+                    entry.started(), runsSince));
             entries.add(new NodeEntry(number, entry.zone(), entry.state(), entry.cell(), entry.weight(),
-                    Micros.of(entry.started()), entry.kind()));
+                    Micros.of(runsSince), entry.kind()));
         }
         if (list.full()) {
             nodes.keySet().retainAll(named);
         }
         nodes.values().removeIf(node -> node.state() == State.GONE);
+        starts.retain(nodes.values().stream().map(Known::id).collect(Collectors.toSet()));
         numbers.values().retainAll(nodes.keySet()); // replaced nodes come with new ids, all day long
         return entries;
     }
--- a/src/main/java/cypressglade/net/Loop.java
+++ b/src/main/java/cypressglade/net/Loop.java
@@ -31,6 +31,8 @@
     private static final Logger XNIO = Logger.getLogger("org.xnio");
     private static final int BUFFER = 16 * 1024;
     private static final int BACKLOG = 512;
+    private static final Duration BIND_LIMIT = Duration.ofSeconds(10);
+    private static final Duration START_LIMIT = Duration.ofSeconds(5);
     private static final OptionMap TCP = OptionMap.create(Options.TCP_NODELAY, true);
 
     static {
@@ -44,9 +46,10 @@
     final ByteBuffer input = ByteBuffer.allocateDirect(BUFFER);
 
     public Loop() throws IOException {
-        worker = Xnio.getInstance().createWorker(OptionMap.builder().set(Options.WORKER_IO_THREADS, 1)
+        OptionMap options = OptionMap.builder().set(Options.WORKER_IO_THREADS, 1)
                 .set(Options.WORKER_TASK_CORE_THREADS, 1).set(Options.WORKER_TASK_MAX_THREADS, 1)
-                .set(Options.THREAD_DAEMON, true).set(Options.WORKER_NAME, "io").getMap());
+                .set(Options.THREAD_DAEMON, true).set(Options.WORKER_NAME, "io").getMap();
+        worker = Retry.untilDone(START_LIMIT, "I/O thread", () -> Xnio.getInstance().createWorker(options));
         io = worker.getIoThread();
     }
 
@@ -148,7 +151,7 @@
      */
     public Listening share(InetSocketAddress address, Consumer<StreamConnection> accepted)
             throws IOException {
-        return bind(address, true, accepted);
+        return Retry.untilDone(BIND_LIMIT, "clients' port", () -> bind(address, true, accepted));
     }
 
     private Listening bind(InetSocketAddress address, boolean shared, Consumer<StreamConnection> accepted)
--- a/src/main/java/cypressglade/net/NodePool.java
+++ b/src/main/java/cypressglade/net/NodePool.java
@@ -233,7 +233,7 @@
                 holdBack(heldBack.get());
                 return;
             }
-            Optional<Wire> kept = takeIdle(use, known.orElseThrow().started());
+            Optional<Wire> kept = takeIdle(use, known.orElseThrow().runsSince());
             if (kept.isPresent()) {
                 wire = kept.get();
                 begin();
--- a/src/main/java/cypressglade/operate/HandDrains.java
+++ b/src/main/java/cypressglade/operate/HandDrains.java
@@ -232,6 +232,15 @@
         bans.addAll(kept);
     }
 
+    /** Takes the bans that the process beside this one has decided on, in place of those that held here. */
+    public synchronized void setBans(Collection<String> decidedBeside) {
+        Set<String> changed = new LinkedHashSet<>(bans);
+        changed.addAll(decidedBeside);
+        bans.clear();
+        bans.addAll(decidedBeside);
+        changed.forEach(this::showIfTold);
+    }
+
     /**
      * Bans a node by its exact id: nothing new starts there once this returns, whatever later lists say of it
      * and however often it restarts, until {@link #include}. A ban that holds is ALREADY, listed or not; an
--- a/src/main/java/cypressglade/snapshot/SnapshotStore.java
+++ b/src/main/java/cypressglade/snapshot/SnapshotStore.java
@@ -39,7 +39,10 @@
     private static final Set<PosixFilePermission> OWNER = EnumSet.of(PosixFilePermission.OWNER_READ,
             PosixFilePermission.OWNER_WRITE);
 
-    /** However long ago it was written: for what operators decided, which holds until they decide anew. */
+    /**
+     * However long ago it was written, and also where the wall clock was stepped back since: for what operators
+     * decided, which holds until they decide anew.
+     */
     public static final Duration ANY_AGE = Duration.ofDays(36_500);
 
     private final Path directory;
@@ -148,7 +151,7 @@
             if (length != in.remaining() - Integer.BYTES
                     || in.getInt(HEAD + length) != checksum(in.array(), HEAD + length)) {
                 fault = Fault.TORN;
-            } else if (written.isAfter(wall.plus(CLOCK_STEP))) {
+            } else if (!mostAge.equals(ANY_AGE) && written.isAfter(wall.plus(CLOCK_STEP))) {
                 fault = Fault.FROM_THE_FUTURE;
             } else {
                 age = written.isAfter(wall) ? Duration.ZERO : Duration.between(written, wall);
--- a/src/test/java/cypressglade/learn/LearnerTest.java
+++ b/src/test/java/cypressglade/learn/LearnerTest.java
@@ -36,7 +36,7 @@
     private static NodeFact fact(boolean guarded, boolean silent, long startedUs, double pace, int answers,
             Duration seenAgo) {
         long ago = seenAgo == null ? -1 : seenAgo.toNanos() / 1000;
-        return new NodeFact(new Known("s-1", new InetSocketAddress("127.0.0.1", 1), 0, State.READY, Instant.EPOCH),
+        return new NodeFact(new Known("s-1", new InetSocketAddress("127.0.0.1", 1), 0, State.READY, Instant.EPOCH, Instant.EPOCH),
                 new NodeView(1, 0, true, guarded, silent, startedUs, pace, 0, 0.3, 0, answers, ago, ago, 0, 32, 0,
                         Double.MAX_VALUE));
     }
--- a/src/test/java/cypressglade/operate/HandDrainsTest.java
+++ b/src/test/java/cypressglade/operate/HandDrainsTest.java
@@ -131,7 +131,7 @@
     }
 
     private static NodeFact fact(String id, double outUnits, int held) {
-        return new NodeFact(new Known(id, AT, 0, State.DRAINING, Instant.EPOCH), new NodeView(1, 0, false, false, false, 0, 1, 0, 0, 0, 0,
+        return new NodeFact(new Known(id, AT, 0, State.DRAINING, Instant.EPOCH, Instant.EPOCH), new NodeView(1, 0, false, false, false, 0, 1, 0, 0, 0, 0,
                 -1, -1, outUnits, 0, held, 0));
     }
 
