Log why requests and connections end, answer all before the kill, name the death of threads and processes

Cause: logs could not say why a connection was closed, a request refused or sent again, nor that the process before died; a stop left requests with deadlines past the kill unanswered; TraceIds turned a request down with 409 where 8,192 ids were kept, as 400 a second with deadlines of 20 s fill it; an error in the I/O or engine thread left a process that takes and never answers. Change: RequestLog (GET /recent, alarming lines in the log), RequestPool.stopAll, TraceIds, ThreadDeath, ProcessMemory, the holder of serving.lock.

--- a/src/main/java/cypressglade/cli/BanFile.java
+++ b/src/main/java/cypressglade/cli/BanFile.java
@@ -14,9 +14,9 @@
 import java.util.Optional;
 
 /**
- * The bans of the operators' door on the disk, in the directory that the processes of an upgrade share. A disk that
- * fails for a while loses none: what could not be written or read is tried again by {@link #look}. What the process
- * beside this one has decided is taken over from there. One thread at a time.
+ * The bans of the operators' door on the disk, in the directory that the processes of an upgrade share. A
+ * disk that fails for a while loses none: what could not be written or read is tried again by {@link #look}.
+ * What the process beside this one has decided is taken over from there. One thread at a time.
  */
 final class BanFile {
     private static final System.Logger LOG = System.getLogger(BanFile.class.getName());
@@ -78,7 +78,8 @@
         } catch (IOException full) {
             if (!failing) { // a series is told once, and its end
                 failing = true;
-                LOG.log(Level.WARNING, "bans hold, but cannot be kept for the next process yet: " + full.getMessage());
+                LOG.log(Level.WARNING, "bans hold, but cannot be kept for the next process yet: "
+                        + full.getMessage());
             }
         }
     }
@@ -95,8 +96,8 @@
     }
 
     private static List<String> ids(SnapshotStore.Found found) {
-        return Arrays.stream(new String(found.body(), StandardCharsets.UTF_8).split("\n")).filter(id -> !id.isBlank())
-                .toList();
+        String text = new String(found.body(), StandardCharsets.UTF_8);
+        return Arrays.stream(text.split("\n")).filter(id -> !id.isBlank()).toList();
     }
 
     private Optional<FileTime> modified() {
--- a/src/main/java/cypressglade/cli/Doorway.java
+++ b/src/main/java/cypressglade/cli/Doorway.java
@@ -11,14 +11,17 @@
 import java.io.IOException;
 import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
 import java.nio.channels.FileLock;
 import java.nio.channels.OverlappingFileLockException;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
 import java.nio.file.attribute.PosixFilePermissions;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.Optional;
 
 /**
@@ -28,7 +31,10 @@
  */
 final class Doorway implements Door.Acts, AutoCloseable {
     private static final System.Logger LOG = System.getLogger(Doorway.class.getName());
-    /** How long an address that is taken, or a machine without room for a socket, is tried again at the start. */
+    private static final int MOST_HOLDER = 128;
+    /**
+     * How long an address that is taken, or a machine without room for a socket, is tried again at the start.
+     */
     private static final Duration BIND_LIMIT = Duration.ofSeconds(5);
 
     /** What the door may turn in the scheduler. */
@@ -59,8 +65,8 @@
     private String failing = "";
 
     /**
-     * Takes the bans that were kept, and binds the door; it answers from {@link #start} on. A disk that fails keeps
-     * nobody from starting: what it refuses is tried again at each look.
+     * Takes the bans that were kept, and binds the door; it answers from {@link #start} on. A disk that fails
+     * keeps nobody from starting: what it refuses is tried again at each look.
      *
      * @param name the scheduler's name, which its next process has too
      * @throws IOException where the address is taken
@@ -85,8 +91,8 @@
     }
 
     /**
-     * Whether this process serves alone: the lock once it is free, and marks of others. Where the disk does not tell,
-     * the last answer stands.
+     * Whether this process serves alone: the lock once it is free, and marks of others. Where the disk does
+     * not tell, the last answer stands.
      */
     private void lookAtOthers() {
         try {
@@ -115,11 +121,12 @@
                     PosixFilePermissions.fromString("rwx------")));
         }
         if (serving.isEmpty()) {
-            serving = Optional.of(FileChannel.open(directory.resolve("serving.lock"), StandardOpenOption.CREATE,
-                    StandardOpenOption.WRITE));
+            serving = Optional.of(FileChannel.open(directory.resolve("serving.lock"),
+                    StandardOpenOption.CREATE, StandardOpenOption.READ, StandardOpenOption.WRITE));
         }
         lock = tryLock(serving.get());
         if (lock != null) {
+            noteHolder(serving.get());
             removeMark();
         } else if (mark.isEmpty()) { // another process serves as this scheduler: an upgrade hands over
             mark = Optional.of(UpgradeMark.leave(directory));
@@ -138,6 +145,22 @@
         }
     }
 
+    /**
+     * The holder's number stands in the file until a stop in order: one that is found is of a process that
+     * died.
+     */
+    private void noteHolder(FileChannel channel) throws IOException {
+        ByteBuffer found = ByteBuffer.allocate(MOST_HOLDER);
+        channel.read(found, 0);
+        String before = new String(found.array(), 0, found.position(), StandardCharsets.US_ASCII);
+        if (!before.isEmpty()) {
+            LOG.log(Level.WARNING, "the process before this one ended without a stop: {0}", before);
+        }
+        channel.truncate(0);
+        channel.write(ByteBuffer.wrap(("pid " + ProcessHandle.current().pid() + " started " + Instant.now())
+                .getBytes(StandardCharsets.US_ASCII)), 0);
+    }
+
     private void removeMark() throws IOException {
         if (mark.isPresent()) {
             mark.get().close();
@@ -166,7 +189,8 @@
         try {
             return UpgradeMark.other(directory, mark).filter(UpgradeMark.Other::serving).isPresent();
         } catch (IOException unusable) {
-            LOG.log(Level.WARNING, "whether a process beside takes clients is not known: {0}", unusable.toString());
+            LOG.log(Level.WARNING, "whether a process beside takes clients is not known: {0}",
+                    unusable.toString());
             return false;
         }
     }
@@ -219,8 +243,11 @@
         synchronized (this) {
             try {
                 removeMark();
+                if (lock != null) {
+                    serving.get().truncate(0);
+                }
                 if (serving.isPresent()) {
-                    serving.get().close(); // and with it the lock, which the process's end would give back too
+                    serving.get().close(); // and with it the lock, as the process's end would
                 }
             } catch (IOException gone) {
                 LOG.log(Level.DEBUG, "closing the lock", gone);
--- a/src/main/java/cypressglade/cli/Main.java
+++ b/src/main/java/cypressglade/cli/Main.java
@@ -161,6 +161,7 @@
     }
 
     private static int serve(ServeCommand command, PrintStream out) throws ConfigException, IOException {
+        Thread.setDefaultUncaughtExceptionHandler(new ThreadDeath());
         Reload reload = new Reload(command);
         if (!Signals.onHangUp(reload)) {
             LOG.log(System.Logger.Level.WARNING, "SIGHUP is ignored by whoever started this program, as by"
@@ -226,6 +227,7 @@
                 Thread.currentThread().interrupt();
             }
             out.print(scheduler.counters().text());
+            out.print(ProcessMemory.peak());
             out.flush();
             Runtime.getRuntime().halt(OK); // a planned stop is no failure, whatever the signal's own code
         }, "stop"));
--- a/src/main/java/cypressglade/cli/PatientRead.java
+++ b/src/main/java/cypressglade/cli/PatientRead.java
@@ -6,7 +6,10 @@
 import java.time.Duration;
 import java.time.Instant;
 
-/** Reads configuration files again where the disk fails for a while; what is read and wrong is not tried again. */
+/**
+ * Reads configuration files again where the disk fails for a while; what is read and wrong is not tried
+ * again.
+ */
 final class PatientRead {
     private static final Duration PAUSE = Duration.ofMillis(100);
 
--- a/src/main/java/cypressglade/cli/Serve.java
+++ b/src/main/java/cypressglade/cli/Serve.java
@@ -141,7 +141,10 @@
                 files.nbd().get(), config.settings(), engine, directory, counters, pool, nbdNodes.get()));
     }
 
-    /** So many processes serve as this scheduler: each takes its part of the limits, which are one scheduler's. */
+    /**
+     * So many processes serve as this scheduler: each takes its part of the limits, which are one
+     * scheduler's.
+     */
     private void beside(int count) {
         processes = count;
         engine.beside(count);
@@ -301,6 +304,7 @@
      */
     public void drain() throws InterruptedException {
         Instant told = Time.now();
+        LOG.log(System.Logger.Level.INFO, "told to stop, {0} requests open", pool.open());
         if (stopOpening()) {
             answerAll(told);
         }
@@ -323,7 +327,10 @@
         Thread.sleep(Time.until(told.plus(SERVE_ON)).toMillis());
         blockClients.ifPresent(NbdListener::refuseCommands);
         Thread.sleep(Time.until(served).toMillis());
+        LOG.log(System.Logger.Level.INFO, "stopping: {0} requests open, {1} clients connected", pool.open(),
+                clients.connected());
         clients.end();
+        pool.stopAll(); // those from before the signal may have longer to go than the program has
         Instant last = told.plus(SERVE_ON).plus(longest);
         while (pool.open() > 0 && Time.now().isBefore(last)) {
             Thread.sleep(LOOK.toMillis());
--- a/src/main/java/cypressglade/cli/UpgradeMark.java
+++ b/src/main/java/cypressglade/cli/UpgradeMark.java
@@ -16,9 +16,9 @@
 import java.util.Optional;
 
 /**
- * The file by which a process that starts beside another tells it so, and that it takes clients. It is locked for as
- * long as its process lives: the kernel gives the lock back at its death, however early that comes. A process number
- * would not tell: it may be another's by then.
+ * The file by which a process that starts beside another tells it so, and that it takes clients. It is locked
+ * for as long as its process lives: the kernel gives the lock back at its death, however early that comes. A
+ * process number would not tell: it may be another's by then.
  */
 final class UpgradeMark implements AutoCloseable {
     private static final String PREFIX = "coming.";
@@ -40,12 +40,14 @@
     static UpgradeMark leave(Path directory) throws IOException {
         String unique = ProcessHandle.current().pid() + "." + System.nanoTime();
         Path unfinished = directory.resolve(UNFINISHED + unique);
-        FileChannel channel = FileChannel.open(unfinished, StandardOpenOption.CREATE_NEW, StandardOpenOption.WRITE);
+        FileChannel channel = FileChannel.open(unfinished, StandardOpenOption.CREATE_NEW,
+                StandardOpenOption.WRITE);
         try {
             if (channel.tryLock() == null) {
                 throw new IOException(unfinished + " is locked by another");
             }
-            Path file = Files.move(unfinished, directory.resolve(PREFIX + unique), StandardCopyOption.ATOMIC_MOVE);
+            Path file = Files.move(unfinished, directory.resolve(PREFIX + unique),
+                    StandardCopyOption.ATOMIC_MOVE);
             return new UpgradeMark(file, channel);
         } catch (IOException failed) {
             channel.close();
@@ -60,8 +62,8 @@
     }
 
     /**
-     * The mark of a process that lives, one that takes clients before one that does not; marks of dead ones are
-     * removed.
+     * The mark of a process that lives, one that takes clients before one that does not; marks of dead ones
+     * are removed.
      *
      * @param own this process's mark, which is passed over
      * @throws IOException where the directory cannot be read
--- a/src/main/java/cypressglade/config/Budget.java
+++ b/src/main/java/cypressglade/config/Budget.java
@@ -1,10 +1,10 @@
 package cypressglade.config;
 
 /**
- * What the platform lets this program hold, and how it is dealt out; the README has the arithmetic. The limits are one
- * scheduler's, and an upgrade has two processes of it side by side. What a process holds from its start on (the heap
- * and what stands in it) is sized for two always, as a heap does not shrink when the second process comes; what
- * follows the load is halved while both serve.
+ * What the platform lets this program hold, and how it is dealt out; the README has the arithmetic. The
+ * limits are one scheduler's, and an upgrade has two processes of it side by side. What a process holds from
+ * its start on (the heap and what stands in it) is sized for two always, as a heap does not shrink when the
+ * second process comes; what follows the load is halved while both serve.
  *
  * @param memoryMb the limit on memory in MB, for all processes of this scheduler together
  * @param sockets the limit on descriptors, for all of them together
@@ -54,7 +54,10 @@
         return heapBytes() / RECEIVING_PART;
     }
 
-    /** Room for bodies of answers in bytes, while they come from the nodes and again while they go to the clients. */
+    /**
+     * Room for bodies of answers in bytes, while they come from the nodes and again while they go to the
+     * clients.
+     */
     public int answerBytes() {
         return heapBytes() / ANSWERS_PART;
     }
--- a/src/main/java/cypressglade/config/Config.java
+++ b/src/main/java/cypressglade/config/Config.java
@@ -73,7 +73,8 @@
         } catch (NoSuchFileException | AccessDeniedException wrong) {
             throw new ConfigException(path + ": cannot be read: " + wrong.getClass().getSimpleName());
         } catch (IOException unreadable) {
-            throw new UnreadableException(path + ": cannot be read: " + unreadable.getClass().getSimpleName());
+            throw new UnreadableException(path + ": cannot be read: "
+                    + unreadable.getClass().getSimpleName());
         }
     }
 
--- a/src/main/java/cypressglade/core/Engine.java
+++ b/src/main/java/cypressglade/core/Engine.java
@@ -45,6 +45,7 @@
     private Settings settings;
     private Share share = new Share(0, 0);
     private final Asked asked = new Asked();
+    private final RequestLog log = new RequestLog();
     private Optional<Granted> granted = Optional.empty();
     /** Processes that serve as this instance at once: two while an upgrade hands over, one otherwise. */
     private int beside = 1;
@@ -99,6 +100,11 @@
         thread.setDaemon(true);
     }
 
+    /** Why requests ended as they did, for all who answer them. */
+    public RequestLog log() {
+        return log;
+    }
+
     /** Starts the thread; {@code links} names the link by which a node is probed. */
     public void start(LongFunction<NodeLink<?>> links) {
         prober = probe -> links.apply(probe.node).probe(probe.node, probe::ended);
--- a/src/main/java/cypressglade/core/RequestLife.java
+++ b/src/main/java/cypressglade/core/RequestLife.java
@@ -3,6 +3,7 @@
 import cypressglade.core.Counters.Name;
 import cypressglade.core.NodeLink.Attempt;
 import cypressglade.core.NodeLink.Ending;
+import cypressglade.core.RequestLog.What;
 import cypressglade.core.Scheduler.Status;
 import cypressglade.storm.Try;
 import java.time.Duration;
@@ -27,6 +28,8 @@
     private final Mailbox<Signal> signals = new Mailbox<>();
     private final AtomicReference<Phase> phase = new AtomicReference<>(Phase.WAITING);
     private RequestPool pool;
+    private final RequestLog log;
+    private boolean stopped; // as the request's own task has heard
     private boolean gone; // as the request's own task has heard
     private volatile boolean left; // as it is, for an attempt that has not begun
 
@@ -60,6 +63,9 @@
 
     private record Late() implements Signal { }
 
+    /** The program stops and can wait no longer. */
+    private record Stop() implements Signal { }
+
     public RequestLife(Engine engine, Counters counters, IoRequest request, W work, Caller caller,
             NodeLink<W> link) {
         this.engine = engine;
@@ -68,6 +74,7 @@
         this.work = work;
         this.caller = caller;
         this.link = link;
+        this.log = engine.log();
     }
 
     /** Hands it to the module; its ends, and its thread, are the pool's from here on. */
@@ -98,6 +105,11 @@
         }
     }
 
+    /** Answers it now, whatever is out for it: the program stops, and is killed soon. */
+    void stop() {
+        signal(new Stop());
+    }
+
     /** The client went away: the module hears of it, nothing is answered, and nothing begins any more. */
     public void clientGone() {
         left = true;
@@ -115,6 +127,7 @@
 
     private void work() {
         int attempt = 0;
+        Status last = Status.MOOT;
         while (true) {
             Signal order = await(request.expiry().plus(ORDER_GRACE));
             if (!(order instanceof Send send)) {
@@ -125,16 +138,23 @@
             }
             counters.add(Name.SENT);
             Instant sent = Time.now();
+            if (attempt > 0) {
+                log.note(caller.id(), What.RETRIED, "attempt " + (attempt + 1) + " at node " + send.node()
+                        + ", as the last ended " + last);
+            }
             Ending ending = attempt(send, sent);
+            last = ending.status();
             counters.ended(ending.status());
             boolean served = ending.status() == Status.OK;
             if (served && !gone) {
                 counters.add(Name.ANSWERED_SERVED);
                 caller.served(ending.answer());
+            } else if (stopped && !gone) {
+                failAtStop("an attempt was out at node " + send.node());
             }
             engine.ended(this, attempt, send.node(), ending, ending.took().orElseGet(
-                    () -> Duration.between(sent, Time.now())), served || gone);
-            if (served || gone) {
+                    () -> Duration.between(sent, Time.now())), served || gone || stopped);
+            if (served || gone || stopped) {
                 return;
             }
             attempt++;
@@ -145,14 +165,21 @@
     private boolean end(Signal order) {
         if (order instanceof Refuse refuse) {
             counters.add(Name.ANSWERED_REFUSED);
+            log.note(caller.id(), What.REFUSED, "by the module, to come again after "
+                    + refuse.retryAfter().toMillis() + " ms");
             caller.refused(refuse.retryAfter());
         } else if (order instanceof Fail) {
             counters.add(Name.ANSWERED_FAILED);
+            log.note(caller.id(), What.FAILED, "by the module");
             caller.failed();
+        } else if (order instanceof Stop) {
+            failAtStop("no attempt was out");
+            engine.withdrawn(this, false);
         } else if (order instanceof Gone) {
             engine.withdrawn(this, false);
         } else if (order instanceof Late) {
             counters.add(Name.ANSWERED_BY_DEADLINE);
+            log.note(caller.id(), What.BY_DEADLINE, "the module had not said a word");
             caller.failed();
             engine.withdrawn(this, false);
         } else {
@@ -161,19 +188,29 @@
         return true;
     }
 
+    private void failAtStop(String how) {
+        counters.add(Name.ANSWERED_FAILED);
+        log.note(caller.id(), What.STOPPED, how);
+        caller.failed();
+    }
+
     /** Waits for the end of one attempt, which comes by its limit; by then no connection carries it. */
     private Ending attempt(Send send, Instant sent) {
         Instant until = request.expiry();
         if (!send.limit().isZero() && sent.plus(send.limit()).isBefore(until)) {
             until = sent.plus(send.limit());
         }
-        Attempt out = link.send(send.node(), work, until, () -> !left && caller.present(), ending -> signal(new Ended(ending)));
+        Attempt out = link.send(send.node(), work, until, () -> !left && caller.present(),
+                ending -> signal(new Ended(ending)));
         while (true) {
             Signal signal = await(Instant.MAX);
             if (signal instanceof Ended end) {
                 return end.ending();
             } else if (signal instanceof Cancel) {
                 out.abandon();
+            } else if (signal instanceof Stop) {
+                stopped = true;
+                out.abandon();
             } else if (signal instanceof Gone) {
                 gone = true; // an attempt that has begun runs on: what becomes of it still tells of its node
                 engine.withdrawn(this, true);
--- a/src/main/java/cypressglade/core/RequestPool.java
+++ b/src/main/java/cypressglade/core/RequestPool.java
@@ -21,6 +21,7 @@
     private final ThreadPoolExecutor threads;
     private final Counters counters;
     private final Set<RequestLife<?>> waiting = ConcurrentHashMap.newKeySet();
+    private final Set<RequestLife<?>> working = ConcurrentHashMap.newKeySet();
     private final AtomicInteger open = new AtomicInteger();
     private volatile int most;
 
@@ -50,6 +51,7 @@
 
     /** Puts a request on a thread; false, and it is over, where none is free: one ends just now. */
     boolean work(RequestLife<?> life) {
+        working.add(life);
         waiting.remove(life);
         try {
             threads.execute(life);
@@ -64,6 +66,7 @@
     /** The one place where a request's room is given back. */
     void over(RequestLife<?> life) {
         waiting.remove(life);
+        working.remove(life);
         open.decrementAndGet();
     }
 
@@ -72,6 +75,12 @@
         waiting.forEach(life -> life.late(now));
     }
 
+    /** Has each open request answered now, as the program is about to be killed. */
+    public void stopAll() {
+        waiting.forEach(RequestLife::stop);
+        working.forEach(RequestLife::stop);
+    }
+
     /** Takes a new bound; what runs goes on. */
     public void use(int next) {
         most = next;
--- a/src/main/java/cypressglade/core/StartTimes.java
+++ b/src/main/java/cypressglade/core/StartTimes.java
@@ -9,10 +9,10 @@
 import java.util.Set;
 
 /**
- * When nodes started, on the clock of {@link Time}, which goes on evenly. Discovery tells it by the wall clock, which
- * may be stepped by an hour either way between a node's start and the list that tells of it. Of the times that a told
- * one can mean under the steps seen so far, the latest that is not ahead counts: a node must not be taken for warm.
- * One thread at a time.
+ * When nodes started, on the clock of {@link Time}, which goes on evenly. Discovery tells it by the wall
+ * clock, which may be stepped by an hour either way between a node's start and the list that tells of it. Of
+ * the times that a told one can mean under the steps seen so far, the latest that is not ahead counts: a node
+ * must not be taken for warm. One thread at a time.
  */
 final class StartTimes {
     private static final Duration LEAST_STEP = Duration.ofMillis(500);
@@ -45,7 +45,8 @@
     }
 
     private Instant latestNotAhead(Instant told, Instant now) {
-        return steps.stream().map(told::minus).filter(start -> !start.isAfter(now)).max(Instant::compareTo).orElse(now);
+        return steps.stream().map(told::minus).filter(start -> !start.isAfter(now)).max(Instant::compareTo)
+                .orElse(now);
     }
 
     private void noteStep(Duration ahead) {
--- a/src/main/java/cypressglade/http/ClientConnection.java
+++ b/src/main/java/cypressglade/http/ClientConnection.java
@@ -5,7 +5,8 @@
 import org.xnio.StreamConnection;
 
 /**
- * A client's connection: what is open on it and since when, and what room its bytes take. The I/O thread's alone.
+ * A client's connection: what is open on it and since when, and what room its bytes take. The I/O thread's
+ * alone.
  */
 final class ClientConnection {
     final StreamConnection connection;
@@ -33,8 +34,8 @@
     }
 
     /**
-     * Bytes came. A client that has been answered may begin its next request at the end of its rest, and write it
-     * slowly; one that has not has its time from the connect, whatever it sends.
+     * Bytes came. A client that has been answered may begin its next request at the end of its rest, and
+     * write it slowly; one that has not has its time from the connect, whatever it sends.
      */
     private void heard() {
         if (!open && !coming && !bodyAwaited) {
--- a/src/main/java/cypressglade/http/ClientListener.java
+++ b/src/main/java/cypressglade/http/ClientListener.java
@@ -8,6 +8,8 @@
 import cypressglade.core.IoRequest;
 import cypressglade.core.NodeLink;
 import cypressglade.core.RequestLife;
+import cypressglade.core.RequestLog;
+import cypressglade.core.RequestLog.What;
 import cypressglade.core.RequestPool;
 import cypressglade.core.Scheduler.Settings;
 import cypressglade.core.Time;
@@ -93,6 +95,7 @@
     private final Engine engine;
     private final Counters counters;
     private final RequestPool pool;
+    private final RequestLog log;
     private final NodeLink<HttpWork> link;
     private final BooleanSupplier ready;
     private final Map<StreamConnection, ClientConnection> clients = new HashMap<>();
@@ -120,6 +123,7 @@
         this.engine = engine;
         this.counters = counters;
         this.pool = pool;
+        this.log = engine.log();
         this.link = link;
         this.ready = ready;
         this.parser = new RequestParser(settings);
@@ -209,7 +213,8 @@
     private void leave(Predicate<ClientConnection> whom) {
         loop.execute(() -> {
             leaving = true;
-            List.copyOf(clients.values()).stream().filter(whom).forEach(this::closeIfAtRest);
+            List.copyOf(clients.values()).stream().filter(whom)
+                    .forEach(client -> closeIfAtRest(client, "leaving"));
         });
     }
 
@@ -267,12 +272,13 @@
         forgetClosed();
         Instant now = Time.now();
         List.copyOf(clients.values()).stream().filter(client -> client.idle() && !client.answered)
-                .filter(client -> client.since.isBefore(now.minus(SILENT))).forEach(this::closeIfAtRest);
+                .filter(client -> client.since.isBefore(now.minus(SILENT)))
+                .forEach(client -> closeIfAtRest(client, "crowded, and silent since it came"));
         List.copyOf(clients.values()).stream().filter(client -> client.idle() && client.answered)
                 .filter(client -> client.since.isBefore(now.minus(RESTED)))
                 .sorted(Comparator.comparing(client -> client.since))
                 .limit(Math.max(0, clients.size() - mostClients() + CROSSING))
-                .forEach(this::closeIfAtRest);
+                .forEach(client -> closeIfAtRest(client, "crowded, and at rest"));
     }
 
     private boolean crowded() {
@@ -287,19 +293,28 @@
         Instant oldest = Time.now().minus(PATIENCE);
         Instant unread = Time.now().minus(READING);
         List.copyOf(clients.values()).stream().filter(client -> client.writing)
-                .filter(client -> client.since.isBefore(unread)).forEach(this::close);
+                .filter(client -> client.since.isBefore(unread)).forEach(client -> {
+                    log.note(RequestLog.NO_ID, What.CUT_OFF, "its answer was not read in time");
+                    close(client);
+                });
         List.copyOf(clients.values()).stream().filter(client -> client.since.isBefore(oldest))
                 .filter(client -> leaving || last.equals(Instant.MAX) || !client.answered)
-                .forEach(this::closeIfAtRest);
+                .forEach(client -> closeIfAtRest(client, "at rest for long"));
         List.copyOf(clients.values()).stream()
                 .filter(client -> client.coming && !client.open && !client.writing)
-                .filter(client -> client.since.isBefore(oldest)).forEach(this::closeInOrder);
+                .filter(client -> client.since.isBefore(oldest)).forEach(client -> {
+                    log.note(RequestLog.NO_ID, What.CLOSED, "half a request, and no more in time");
+                    closeInOrder(client);
+                });
         loop.after(crowded() ? SWEEP_CROWD : SWEEP, this::sweep);
     }
 
-    /** Closes a connection on which nothing is owed; one whose next request is here already is read instead. */
-    private void closeIfAtRest(ClientConnection client) {
+    /**
+     * Closes a connection on which nothing is owed; one whose next request is here already is read instead.
+     */
+    private void closeIfAtRest(ClientConnection client, String why) {
         if (client.idle() && !client.hasUnread()) {
+            log.note(RequestLog.NO_ID, What.CLOSED, why);
             closeInOrder(client);
         }
     }
@@ -347,6 +362,11 @@
         });
     }
 
+    private static String id(HttpServerExchange exchange) {
+        String id = exchange.getRequestHeaders().getFirst(RequestParser.TRACE_ID);
+        return id == null ? RequestLog.NO_ID : id;
+    }
+
     private void handle(HttpServerExchange exchange) {
         Instant arrived = Time.now();
         ClientConnection client = client(exchange);
@@ -360,6 +380,7 @@
     private void route(HttpServerExchange exchange, Instant arrived) {
         switch (exchange.getRequestURI()) {
             case "/healthz" -> answer(exchange, ready.getAsBoolean() ? 200 : 503, new byte[0]);
+            case "/recent" -> answer(exchange, 200, log.text().getBytes(StandardCharsets.UTF_8));
             case "/counters" -> answer(exchange, 200, counters.text().getBytes(StandardCharsets.UTF_8));
             default -> take(exchange, arrived);
         }
@@ -402,6 +423,7 @@
                 reject(same, 413, "the body is over 64 KiB");
             } else {
                 counters.add(Name.MALFORMED);
+                log.note(id(same), What.MALFORMED, "its body broke off: " + failure);
                 IoUtils.safeClose(same.getConnection());
             }
         });
@@ -448,6 +470,7 @@
         void turnAway() {
             if (end()) {
                 counters.add(Name.REFUSED_NO_ROOM);
+                log.note(id(exchange), What.REFUSED, "no room for its body, or it did not come in time");
                 answer(exchange, 503, new byte[0]);
             }
         }
@@ -469,12 +492,14 @@
         ClientConnection client = client(exchange);
         if (body.length > budget.bodyBytes() - holding) {
             counters.add(Name.REFUSED_NO_ROOM);
+            log.note(answer.id(), What.REFUSED, "no room for the bodies of open requests");
             answer.refused(Duration.ZERO);
         } else if (pool.start(life)) {
             client.open = true;
             hold(client, body.length);
             watchForEnd(exchange, life);
         } else {
+            log.note(answer.id(), What.REFUSED, "too many requests are open");
             answer.refused(Duration.ZERO);
         }
     }
@@ -493,6 +518,7 @@
 
     private void gone(HttpServerExchange exchange) {
         counters.add(Name.GONE);
+        log.note(id(exchange), What.GONE, "its client left");
         IoUtils.safeClose(exchange.getConnection());
         left(client(exchange));
     }
@@ -520,7 +546,8 @@
         return false;
     }
 
-    private void keepPipelined(HttpServerConnection connection, ClientConnection client, PooledByteBuffer fresh) {
+    private void keepPipelined(HttpServerConnection connection, ClientConnection client,
+            PooledByteBuffer fresh) {
         fresh.getBuffer().flip();
         PooledByteBuffer held = connection.getExtraBytes();
         if (held == null) {
@@ -561,6 +588,7 @@
 
     private void reject(HttpServerExchange exchange, int status, String why) {
         counters.add(Name.MALFORMED);
+        log.note(id(exchange), What.MALFORMED, why);
         exchange.setPersistent(false);
         answer(exchange, status, (why + "\n").getBytes(StandardCharsets.UTF_8));
     }
@@ -578,6 +606,7 @@
             return;
         }
         if (body.length > budget.answerBytes() - answering) { // clients that do not read hold too much
+            log.note(id(exchange), What.FAILED, "no room for its answer of " + body.length + " bytes");
             answer(exchange, 502, new byte[0]);
             return;
         }
@@ -654,6 +683,11 @@
             return !hasLeft(exchange);
         }
 
+        @Override
+        public String id() {
+            return ClientListener.id(exchange);
+        }
+
         @Override
         public void served(byte[] answer) {
             loop.execute(() -> answer(exchange, 200, answer));
@@ -662,6 +696,7 @@
         @Override
         public void refused(Duration retryAfter) {
             loop.execute(() -> {
+                ids.release(id());
                 if (!retryAfter.isZero()) {
                     exchange.getResponseHeaders().put(Headers.RETRY_AFTER,
                             BigDecimal.valueOf(retryAfter.toMillis(), 3).toPlainString());
--- a/src/main/java/cypressglade/http/TraceIds.java
+++ b/src/main/java/cypressglade/http/TraceIds.java
@@ -3,7 +3,8 @@
 import cypressglade.core.Time;
 import java.time.Duration;
 import java.time.Instant;
-import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.Map;
 
 /**
@@ -15,11 +16,28 @@
     /** A node may begin a request until the time that it was told is over. */
     private static final Duration KEPT = Duration.ofMillis(500);
 
-    private final Map<String, Instant> until = new HashMap<>();
+    private final Map<String, Instant> until = new LinkedHashMap<>();
 
-    /** Notes an id until its request's time is over; false where it is known, or there is no room for it. */
+    /**
+     * Notes an id until its request's time is over; false where it is known. Where there is no room the
+     * oldest makes way: with deadlines of 20 s, 400 requests a second fill the table, and none may be turned
+     * down for that.
+     */
     boolean take(String id, Instant expiry) {
-        return until.size() < MOST && until.putIfAbsent(id, expiry.plus(KEPT)) == null;
+        if (until.putIfAbsent(id, expiry.plus(KEPT)) != null) {
+            return false;
+        }
+        if (until.size() > MOST) {
+            Iterator<String> oldest = until.keySet().iterator();
+            oldest.next();
+            oldest.remove();
+        }
+        return true;
+    }
+
+    /** Gives back the id of a request that went to no node. */
+    void release(String id) {
+        until.remove(id);
     }
 
     /** Drops what is over. */
--- a/src/main/java/cypressglade/http/WatchedSourceConduit.java
+++ b/src/main/java/cypressglade/http/WatchedSourceConduit.java
@@ -7,9 +7,9 @@
 import org.xnio.conduits.StreamSourceConduit;
 
 /**
- * What comes from a client: tells of bytes that are read, whoever reads them, and looks at what has come without
- * taking it. A timer may run before the events that came with it are heard of, by as long as the process was held up:
- * whoever is about to close a connection, or to act for its client, must look first.
+ * What comes from a client: tells of bytes that are read, whoever reads them, and looks at what has come
+ * without taking it. A timer may run before the events that came with it are heard of, by as long as the
+ * process was held up: whoever is about to close a connection, or to act for its client, must look first.
  */
 final class WatchedSourceConduit extends AbstractStreamSourceConduit<StreamSourceConduit> {
     private static final int MOST_AHEAD = 4 * 1024;
--- a/src/main/java/cypressglade/net/Listening.java
+++ b/src/main/java/cypressglade/net/Listening.java
@@ -16,7 +16,8 @@
     private final Acceptor acceptor;
     private int failures; // since the last one that was accepted
 
-    Listening(Loop loop, ServerSocketChannel channel, Consumer<StreamConnection> accepted) throws IOException {
+    Listening(Loop loop, ServerSocketChannel channel, Consumer<StreamConnection> accepted)
+            throws IOException {
         this.loop = loop;
         address = (InetSocketAddress) channel.getLocalAddress();
         acceptor = new Acceptor(loop.io(), channel, new Acceptor.Listener() {
@@ -41,7 +42,8 @@
 
     private void noteAccepted() {
         if (failures > 0) {
-            LOG.log(System.Logger.Level.INFO, "accept on {0} works again after {1} failures", address, failures);
+            LOG.log(System.Logger.Level.INFO, "accept on {0} works again after {1} failures", address,
+                    failures);
             failures = 0;
         }
     }
@@ -56,7 +58,10 @@
         loop.execute(() -> acceptor.bound(most));
     }
 
-    /** Accepts all that wait in the backlog, and closes: on the I/O thread, at once, so that nobody comes between. */
+    /**
+     * Accepts all that wait in the backlog, and closes: on the I/O thread, at once, so that nobody comes
+     * between.
+     */
     public void acceptWaitingAndClose() {
         acceptor.acceptWaiting();
         acceptor.close();
--- a/src/main/java/cypressglade/net/Loop.java
+++ b/src/main/java/cypressglade/net/Loop.java
@@ -146,8 +146,8 @@
     }
 
     /**
-     * Binds a listener that another process may share (SO_REUSEPORT), as an upgrade wants it; it hands over each
-     * connection on this thread, once it is told to accept.
+     * Binds a listener that another process may share (SO_REUSEPORT), as an upgrade wants it; it hands over
+     * each connection on this thread, once it is told to accept.
      */
     public Listening share(InetSocketAddress address, Consumer<StreamConnection> accepted)
             throws IOException {
--- a/src/main/java/cypressglade/net/NodePool.java
+++ b/src/main/java/cypressglade/net/NodePool.java
@@ -339,8 +339,8 @@
         }
 
         /**
-         * Guards against an answer that stops halfway on a connection that stays open. One timer an exchange, taken
-         * back at its end: one for each part kept the bodies of all that had ended lately in the heap.
+         * Guards against an answer that stops halfway on a connection that stays open. One timer an exchange,
+         * taken back at its end: one for each part kept the bodies of all that had ended lately in the heap.
          */
         private void watchSilence(Duration most) {
             lastHeard = Time.now();
--- a/src/main/java/cypressglade/net/Retry.java
+++ b/src/main/java/cypressglade/net/Retry.java
@@ -6,8 +6,9 @@
 import java.time.Instant;
 
 /**
- * Tries again what the machine refuses for a moment at a start: an address whose last owner is just dying, or no room
- * for one more socket (EADDRINUSE, ENFILE, ENOBUFS). A process must not end by what is over 50 ms later.
+ * Tries again what the machine refuses for a moment at a start: an address whose last owner is just dying, or
+ * no room for one more socket (EADDRINUSE, ENFILE, ENOBUFS). A process must not end by what is over 50 ms
+ * later.
  */
 public final class Retry {
     private static final System.Logger LOG = System.getLogger(Retry.class.getName());
@@ -39,8 +40,8 @@
                 }
                 if (!told) {
                     told = true;
-                    LOG.log(System.Logger.Level.WARNING, "{0}: {1}; tried again for {2} ms", what, refused.toString(),
-                            most.toMillis());
+                    LOG.log(System.Logger.Level.WARNING, "{0}: {1}; tried again for {2} ms", what,
+                            refused.toString(), most.toMillis());
                 }
                 pause(refused);
             }
--- a/src/main/java/cypressglade/snapshot/SnapshotStore.java
+++ b/src/main/java/cypressglade/snapshot/SnapshotStore.java
@@ -40,8 +40,8 @@
             PosixFilePermission.OWNER_WRITE);
 
     /**
-     * However long ago it was written, and also where the wall clock was stepped back since: for what operators
-     * decided, which holds until they decide anew.
+     * However long ago it was written, and also where the wall clock was stepped back since: for what
+     * operators decided, which holds until they decide anew.
      */
     public static final Duration ANY_AGE = Duration.ofDays(36_500);
 
--- a/src/main/java/org/xnio/nio/Acceptor.java
+++ b/src/main/java/org/xnio/nio/Acceptor.java
@@ -11,10 +11,11 @@
 import org.xnio.XnioIoThread;
 
 /**
- * Accepts connections of a bound channel on an XNIO I/O thread, in place of XNIO's own server: that one waits after a
- * failed accept for 250 ms, then 1, 4, 16 and 30 s, while clients that the machine has accepted stand in the backlog.
- * This one tries again every {@value #RETRY_MS} ms. It is in XNIO's package since a connection of an accepted channel
- * cannot be made from elsewhere. All methods but {@link #close} are the I/O thread's.
+ * Accepts connections of a bound channel on an XNIO I/O thread, in place of XNIO's own server: that one waits
+ * after a failed accept for 250 ms, then 1, 4, 16 and 30 s, while clients that the machine has accepted stand
+ * in the backlog. This one tries again every {@value #RETRY_MS} ms. It is in XNIO's package since a
+ * connection of an accepted channel cannot be made from elsewhere. All methods but {@link #close} are the I/O
+ * thread's.
  */
 public final class Acceptor {
     private static final int RETRY_MS = 10;
@@ -144,7 +145,8 @@
         try {
             accepted.configureBlocking(false);
             accepted.socket().setTcpNoDelay(true);
-            connection = new NioSocketStreamConnection(thread, thread.registerChannel(accepted), this::closed);
+            SelectionKey key = thread.registerChannel(accepted);
+            connection = new NioSocketStreamConnection(thread, key, this::closed);
         } catch (IOException broken) {
             IoUtils.safeClose(accepted);
             return;
--- a/src/test/java/cypressglade/core/RequestLifeTest.java
+++ b/src/test/java/cypressglade/core/RequestLifeTest.java
@@ -104,6 +104,18 @@
         assertThat(pool.start(life(Duration.ofSeconds(2)))).isTrue();
     }
 
+    /** Guards against requests with long deadlines that the kill at the end of a stop finds unanswered. */
+    @Test
+    void whatIsOpenWhenTheProgramMustEndIsAnsweredThen() throws Exception {
+        assertThat(pool.start(life(Duration.ofSeconds(60)))).isTrue();
+        assertThat(sent.poll(5, TimeUnit.SECONDS)).as("an attempt is out").isNotNull();
+        pool.stopAll();
+        assertThat(answer()).isEqualTo("failed");
+        cypressglade.standin.Site.await(() -> pool.open() == 0);
+        assertThat(sent).as("nothing is sent after it").isEmpty();
+        assertThat(engine.log().text()).contains("stopped: an attempt was out");
+    }
+
     private String answer() throws InterruptedException {
         return answers.poll(5, TimeUnit.SECONDS);
     }
