--- a/src/main/java/cypressglade/cli/Serve.java
+++ b/src/main/java/cypressglade/cli/Serve.java
@@ -324,15 +324,17 @@
         }
         blockClients.ifPresent(NbdListener::leave);
         clients.answerBy(served);
-        Thread.sleep(Time.until(told.plus(SERVE_ON)).toMillis());
-        blockClients.ifPresent(NbdListener::refuseCommands);
+        if (blockClients.isPresent()) {
+            Instant refused = told.plus(SERVE_ON);
+            Thread.sleep(Time.until(refused.isBefore(served) ? refused : served).toMillis());
+            blockClients.get().refuseCommands();
+        }
         Thread.sleep(Time.until(served).toMillis());
         LOG.log(System.Logger.Level.INFO, "stopping: {0} requests open, {1} clients connected", pool.open(),
                 clients.connected());
         clients.end();
         pool.stopAll(); // those from before the signal may have longer to go than the program has
-        Instant last = told.plus(SERVE_ON).plus(longest);
-        while (pool.open() > 0 && Time.now().isBefore(last)) {
+        while (pool.open() > 0 && Time.now().isBefore(served.plus(LINGER))) {
             Thread.sleep(LOOK.toMillis());
         }
         while (clients.connected() > 0 && Time.now().isBefore(served.plus(LINGER))) {
--- a/src/main/java/cypressglade/cli/UpgradeMark.java
+++ b/src/main/java/cypressglade/cli/UpgradeMark.java
@@ -69,6 +69,7 @@
      * @throws IOException where the directory cannot be read
      */
     static Optional<Other> other(Path directory, Optional<UpgradeMark> own) throws IOException {
+        removeUnfinished(directory);
         Optional<Other> found = Optional.empty();
         try (DirectoryStream<Path> marks = Files.newDirectoryStream(directory, PREFIX + "*")) {
             for (Path mark : marks) {
@@ -88,6 +89,19 @@
         return found;
     }
 
+    /** Of processes that died before their mark had its name; one that lives makes its anew. */
+    private static void removeUnfinished(Path directory) throws IOException {
+        try (DirectoryStream<Path> left = Files.newDirectoryStream(directory, UNFINISHED + "*")) {
+            for (Path unfinished : left) {
+                if (!locked(unfinished)) {
+                    Files.deleteIfExists(unfinished);
+                }
+            }
+        } catch (DirectoryIteratorException unreadable) {
+            throw unreadable.getCause();
+        }
+    }
+
     private static boolean says(Path mark) throws IOException {
         try {
             return Files.readString(mark).equals(SERVING);
--- a/src/main/java/cypressglade/core/RequestLife.java
+++ b/src/main/java/cypressglade/core/RequestLife.java
@@ -120,6 +120,12 @@
     public void run() {
         try {
             work();
+        } catch (RuntimeException | Error fault) { // its client is owed an answer all the same
+            counters.add(Name.ANSWERED_FAILED);
+            log.note(caller.id(), What.CUT_OFF, "its task failed: " + fault);
+            caller.failed();
+            engine.withdrawn(this, false);
+            throw fault;
         } finally {
             pool.over(this);
         }
--- a/src/main/java/cypressglade/http/ClientListener.java
+++ b/src/main/java/cypressglade/http/ClientListener.java
@@ -302,13 +302,19 @@
                 .forEach(client -> closeIfAtRest(client, "at rest for long"));
         List.copyOf(clients.values()).stream()
                 .filter(client -> client.coming && !client.open && !client.writing)
-                .filter(client -> client.since.isBefore(oldest)).forEach(client -> {
-                    log.note(RequestLog.NO_ID, What.CLOSED, "half a request, and no more in time");
-                    closeInOrder(client);
-                });
+                .filter(client -> client.since.isBefore(oldest)).forEach(this::closeHalf);
         loop.after(crowded() ? SWEEP_CROWD : SWEEP, this::sweep);
     }
 
+    /** Closes a connection on which half a request is; one whose rest has come just now has one more look. */
+    private void closeHalf(ClientConnection client) {
+        Instant longest = Time.now().minus(PATIENCE).minus(SWEEP);
+        if (client.since.isBefore(longest) || !client.hasUnread()) {
+            log.note(RequestLog.NO_ID, What.CLOSED, "half a request, and no more in time");
+            closeInOrder(client);
+        }
+    }
+
     /**
      * Closes a connection on which nothing is owed; one whose next request is here already is read instead.
      */
--- a/src/test/java/cypressglade/cli/StartStopTest.java
+++ b/src/test/java/cypressglade/cli/StartStopTest.java
@@ -108,6 +108,21 @@
         }
     }
 
+    /** With short deadlines the kill comes soon: 0.7 s after the longest. Guards against a stop that takes longer. */
+    @Test
+    void aStopWithShortDeadlinesIsOverBeforeTheKill() throws Exception {
+        String entries = Site.entry(0, node.hostPort(), "active", 0);
+        try (node; discovery; Site site = new Site(entries, OperatorFiles.NONE, config -> config,
+                text -> text.replaceAll("\"deadlineUs\":\\d+", "\"deadlineUs\":100000"));
+                Socket kept = site.connect()) {
+            assertThat(health(kept)).isEqualTo(200);
+            long told = System.nanoTime();
+            site.drain().get(5, TimeUnit.SECONDS);
+            assertThat((System.nanoTime() - told) / 1_000_000).as("ms from the signal").isLessThan(800);
+            assertThat(kept.getInputStream().read()).isEqualTo(-1);
+        }
+    }
+
     private static int health(Socket kept) {
         try {
             kept.getOutputStream().write("GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
--- a/src/test/java/cypressglade/core/RequestLifeTest.java
+++ b/src/test/java/cypressglade/core/RequestLifeTest.java
@@ -37,6 +37,7 @@
     private final RequestPool pool = new RequestPool(2, 0, counters);
     private Engine engine;
     private volatile String answeredBy;
+    private volatile boolean failing;
     private volatile BooleanSupplier wants;
 
     private final Caller caller = new Caller() {
@@ -61,6 +62,9 @@
     private final NodeLink<String> link = new NodeLink<>() {
         @Override
         public Attempt send(long node, String work, Instant until, BooleanSupplier wanted, Consumer<Ending> ended) {
+            if (failing) {
+                throw new IllegalStateException("as an error of the machine would be");
+            }
             wants = wanted;
             sent.add(ended);
             return () -> ended.accept(Ending.of(Status.CANCELLED));
@@ -116,6 +120,15 @@
         assertThat(engine.log().text()).contains("stopped: an attempt was out");
     }
 
+    /** Guards against a client that gets no answer since the thread of its request fails. */
+    @Test
+    void whoseTaskFailsIsAnsweredAllTheSame() throws Exception {
+        failing = true;
+        begin();
+        assertThat(answer()).isEqualTo("failed");
+        cypressglade.standin.Site.await(() -> pool.open() == 0);
+    }
+
     private String answer() throws InterruptedException {
         return answers.poll(5, TimeUnit.SECONDS);
     }
--- a/src/test/java/cypressglade/process/UpgradeMemoryIT.java
+++ b/src/test/java/cypressglade/process/UpgradeMemoryIT.java
@@ -74,6 +74,7 @@
                 assertThat(old.alive() && next.alive()).as("both live").isTrue();
             }
             assertThat(served.get()).as("requests that were served meanwhile").isGreaterThan(LEAST_SERVED);
+            System.out.println("both processes of an upgrade held " + most / 1024 + " MB of " + memoryMb);
             return most / 1024;
         } finally {
             over.set(true);
