--- a/src/main/java/cypressglade/cli/Doorway.java
+++ b/src/main/java/cypressglade/cli/Doorway.java
@@ -1,8 +1,8 @@
 package cypressglade.cli;
 
 import cypressglade.control.DoorServer;
+import cypressglade.core.Retry;
 import cypressglade.core.Time;
-import cypressglade.net.Retry;
 import cypressglade.operate.Door;
 import cypressglade.operate.Handover;
 import cypressglade.operate.HandDrains;
@@ -80,7 +80,7 @@
         bans = new BanFile(directory, drains);
         bans.restore();
         lookAtOthers();
-        server = Retry.untilDone(BIND_LIMIT, "operators' door",
+        server = Retry.untilDone(BIND_LIMIT, "operators' door", IOException.class::isInstance,
                 () -> new DoorServer(address, new Door(this), this::look, Time::now));
     }
 
--- a/src/main/java/cypressglade/cli/Main.java
+++ b/src/main/java/cypressglade/cli/Main.java
@@ -33,7 +33,6 @@
     private static final int FAILED = 1;
     private static final int USAGE = 2;
     private static final Set<String> SERVING = Set.of("serve", "adapter", "check-config");
-    private static final Duration READ_LIMIT = Duration.ofSeconds(5);
     private static final Duration ASK_LIMIT = Duration.ofSeconds(5);
 
     private Main() { }
@@ -167,7 +166,7 @@
             LOG.log(System.Logger.Level.WARNING, "SIGHUP is ignored by whoever started this program, as by"
                     + " nohup: no new configuration is read; start it with the signal at its default");
         }
-        Config config = PatientRead.within(READ_LIMIT, command::read);
+        Config config = Reload.readable(command::read);
         Rehearsal.play(config);
         return serve(new Serve(config, command.readFiles(config)), reload, out);
     }
--- a/src/main/java/cypressglade/cli/Reload.java
+++ b/src/main/java/cypressglade/cli/Reload.java
@@ -2,7 +2,9 @@
 
 import cypressglade.config.Config;
 import cypressglade.config.ConfigException;
+import cypressglade.config.UnreadableException;
 import cypressglade.core.Counters;
+import cypressglade.core.Retry;
 import java.time.Duration;
 
 /** The one owner of a reload: reads the files again and hands them on whole, or changes nothing. */
@@ -35,6 +37,11 @@
         }
     }
 
+    /** Reads files again where the disk fails for a while; what is read and wrong is not tried again. */
+    static <T> T readable(Retry.Call<T, ConfigException> files) throws ConfigException {
+        return Retry.untilDone(READ_LIMIT, "configuration", UnreadableException.class::isInstance, files);
+    }
+
     @Override
     public synchronized void run() {
         if (scheduler == null) {
@@ -42,9 +49,9 @@
             return;
         }
         try {
-            Config next = PatientRead.within(READ_LIMIT, source::read);
+            Config next = readable(source::read);
             next.checkAfter(scheduler.config());
-            scheduler.use(next, PatientRead.within(READ_LIMIT, () -> source.readFiles(next)));
+            scheduler.use(next, readable(() -> source.readFiles(next)));
             scheduler.counters().add(Counters.Name.RELOADS);
             LOG.log(System.Logger.Level.INFO, "reloaded: discovery at {0}", next.discovery());
         } catch (ConfigException unusable) {
--- a/src/main/java/cypressglade/net/Loop.java
+++ b/src/main/java/cypressglade/net/Loop.java
@@ -1,5 +1,6 @@
 package cypressglade.net;
 
+import cypressglade.core.Retry;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
@@ -49,7 +50,8 @@
         OptionMap options = OptionMap.builder().set(Options.WORKER_IO_THREADS, 1)
                 .set(Options.WORKER_TASK_CORE_THREADS, 1).set(Options.WORKER_TASK_MAX_THREADS, 1)
                 .set(Options.THREAD_DAEMON, true).set(Options.WORKER_NAME, "io").getMap();
-        worker = Retry.untilDone(START_LIMIT, "I/O thread", () -> Xnio.getInstance().createWorker(options));
+        worker = Retry.untilDone(START_LIMIT, "I/O thread", IOException.class::isInstance,
+                () -> Xnio.getInstance().createWorker(options));
         io = worker.getIoThread();
     }
 
@@ -151,7 +153,8 @@
      */
     public Listening share(InetSocketAddress address, Consumer<StreamConnection> accepted)
             throws IOException {
-        return Retry.untilDone(BIND_LIMIT, "clients' port", () -> bind(address, true, accepted));
+        return Retry.untilDone(BIND_LIMIT, "clients' port", IOException.class::isInstance,
+                () -> bind(address, true, accepted));
     }
 
     private Listening bind(InetSocketAddress address, boolean shared, Consumer<StreamConnection> accepted)
--- a/src/test/c/faults.c
+++ b/src/test/c/faults.c
@@ -107,25 +107,20 @@
     return !writes && is_config(path) && on("read") ? EIO : 0;
 }
 
-int open(const char *path, int flags, ...) {
-    int (*real)(const char *, int, ...) = dlsym(RTLD_NEXT, "open");
-    va_list more;
-    va_start(more, flags);
-    int mode = va_arg(more, int);
-    va_end(more);
-    int error = refused(path, flags);
-    return error != 0 ? fail(error) : real(path, flags, mode);
-}
+/* The C library has the call under two names. */
+#define OPEN(name) \
+    int name(const char *path, int flags, ...) { \
+        int (*real)(const char *, int, ...) = dlsym(RTLD_NEXT, #name); \
+        va_list more; \
+        va_start(more, flags); \
+        int mode = va_arg(more, int); \
+        va_end(more); \
+        int error = refused(path, flags); \
+        return error != 0 ? fail(error) : real(path, flags, mode); \
+    }
 
-int open64(const char *path, int flags, ...) {
-    int (*real)(const char *, int, ...) = dlsym(RTLD_NEXT, "open64");
-    va_list more;
-    va_start(more, flags);
-    int mode = va_arg(more, int);
-    va_end(more);
-    int error = refused(path, flags);
-    return error != 0 ? fail(error) : real(path, flags, mode);
-}
+OPEN(open)
+OPEN(open64)
 
 int rename(const char *from, const char *to) {
     int (*real)(const char *, const char *) = dlsym(RTLD_NEXT, "rename");
--- a/src/test/java/cypressglade/process/NewcomerKilledIT.java
+++ b/src/test/java/cypressglade/process/NewcomerKilledIT.java
@@ -7,21 +7,19 @@
 import cypressglade.standin.HttpPeer.Message;
 import cypressglade.standin.Site;
 import java.io.DataInputStream;
+import java.io.EOFException;
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Optional;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
-import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.ValueSource;
 
 /** The second process of an upgrade is killed early, as often as it may be: the first serves on, alone and whole. */
 class NewcomerKilledIT {
@@ -33,7 +31,6 @@
     @TempDir
     Path folder;
     private final HttpPeer node = new HttpPeer(HttpPeer.answer(200, "", "the data"));
-    private final AtomicBoolean over = new AtomicBoolean();
     private final AtomicInteger answered = new AtomicInteger();
     private volatile String step = "alone";
     private final Queue<String> lost = new ConcurrentLinkedQueue<>();
@@ -41,13 +38,8 @@
     @Test
     void theFirstServesOnWhileItsNewcomersAreKilled() throws Exception {
         Place place = Place.in(folder, Site.entry(0, node.hostPort(), "active", 0), "127.0.0.1:1", 192);
-        List<Thread> clients = new ArrayList<>();
-        try (node; RealScheduler old = RealScheduler.start(place, Optional.empty())) {
-            for (int i = 0; i < CLIENTS; i++) {
-                Thread client = new Thread(() -> load(old), "client");
-                clients.add(client);
-                client.start();
-            }
+        try (node; RealScheduler old = RealScheduler.start(place, Optional.empty());
+                Load load = new Load(CLIENTS, over -> askOnOneConnection(old, over))) {
             for (int after : KILLED_AFTER_MS) {
                 try (RealScheduler newcomer = RealScheduler.begin(place, Optional.empty())) {
                     step = "a newcomer of " + after + " ms";
@@ -61,54 +53,40 @@
                 old.signal("TERM");
                 assertThat(old.exit()).isZero();
                 Site.await(() -> next.output().stream().anyMatch(line -> line.contains("scheduler: 1")));
-                stopClients(clients);
+                load.stop();
             }
-        } finally {
-            stopClients(clients);
         }
         assertThat(lost).as("requests with no whole answer").isEmpty();
         assertThat(answered.get()).isGreaterThan(CLIENTS);
     }
 
-    private void stopClients(List<Thread> clients) throws InterruptedException {
-        over.set(true);
-        for (Thread client : clients) {
-            client.join();
-        }
-    }
-
     /** Guards against the mark of a dead process being taken for a live one's, whoever has its number now. */
-    @ParameterizedTest
-    @ValueSource(longs = {1})
-    void aMarkWithTheNumberOfAProcessThatLivesIsNoProcess(long pid) throws Exception {
+    @Test
+    void aMarkWithTheNumberOfAProcessThatLivesIsNoProcess() throws Exception {
         Place place = Place.in(folder, Site.entry(0, node.hostPort(), "active", 0), "127.0.0.1:1", 192);
-        Path directory = java.nio.file.Files.createDirectories(place.temporary().resolve("cypressglade-n1"));
-        java.nio.file.Files.writeString(directory.resolve("coming." + pid + ".77"), "takes clients");
+        Path directory = Files.createDirectories(place.temporary().resolve("cypressglade-n1"));
+        Files.writeString(directory.resolve("coming." + ProcessHandle.current().pid() + ".77"), "takes clients");
         try (node; RealScheduler alone = RealScheduler.start(place, Optional.empty())) {
             assertThat(alone.output()).noneMatch(line -> line.contains("processes serving as this scheduler: 2"));
         }
     }
 
     /** Asks one request after another; a connection that is closed between two is opened anew. */
-    private void load(RealScheduler scheduler) {
-        while (!over.get()) {
-            try (Socket socket = scheduler.connect()) {
-                DataInputStream in = new DataInputStream(socket.getInputStream());
-                Message answer;
-                do {
-                    socket.getOutputStream().write(Site.request("GET", READ, HEADERS, "")
-                            .getBytes(StandardCharsets.US_ASCII));
-                    answer = Message.read(in);
-                    answered.incrementAndGet();
-                    RealScheduler.pause(5);
-                } while (!over.get() && !"close".equals(answer.headers().get("connection")));
-            } catch (java.io.EOFException closed) {
-                continue; // between two requests, as a stop may
-            } catch (IOException broken) {
-                if (!over.get()) {
-                    lost.add(step + ": " + broken);
-                }
-            }
+    private void askOnOneConnection(RealScheduler scheduler, BooleanSupplier over) {
+        try (Socket socket = scheduler.connect()) {
+            DataInputStream in = new DataInputStream(socket.getInputStream());
+            Message answer;
+            do {
+                socket.getOutputStream().write(Site.request("GET", READ, HEADERS, "")
+                        .getBytes(StandardCharsets.US_ASCII));
+                answer = Message.read(in);
+                answered.incrementAndGet();
+                RealScheduler.pause(5);
+            } while (!over.getAsBoolean() && !"close".equals(answer.headers().get("connection")));
+        } catch (EOFException closed) {
+            RealScheduler.pause(1); // between two requests, as a stop may
+        } catch (IOException broken) {
+            lost.add(step + ": " + broken);
         }
     }
 }
--- a/src/test/java/cypressglade/process/UpgradeMemoryIT.java
+++ b/src/test/java/cypressglade/process/UpgradeMemoryIT.java
@@ -11,11 +11,10 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
 import java.util.function.ToLongFunction;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -25,6 +24,7 @@
 class UpgradeMemoryIT {
     private static final int CLIENTS = 32;
     private static final int BODY = 50_000;
+    private static final int ON_ONE_CONNECTION = 20;
     private static final long ALONE_MS = 2000;
     private static final long BESIDE_MS = 4000;
     private static final long LOOK_MS = 20;
@@ -35,7 +35,6 @@
     @TempDir
     Path folder;
     private final HttpPeer node = new HttpPeer(HttpPeer.answer(200, "", "x".repeat(BODY)));
-    private final AtomicBoolean over = new AtomicBoolean();
     private final AtomicInteger served = new AtomicInteger();
 
     /**
@@ -60,13 +59,9 @@
     /** MB that both processes held together at the most, under load, while an upgrade put one beside the other. */
     private long mostOfAnUpgrade(int memoryMb, ToLongFunction<RealScheduler> kilobytes) throws Exception {
         Place place = Place.in(folder, Site.entry(0, node.hostPort(), "active", 0), "127.0.0.1:1", memoryMb);
-        List<Thread> clients = new ArrayList<>();
-        try (node; RealScheduler old = RealScheduler.start(place, Optional.empty())) {
-            for (int i = 0; i < CLIENTS; i++) {
-                Thread client = new Thread(() -> load(old), "client");
-                clients.add(client);
-                client.start();
-            }
+        try (node; RealScheduler old = RealScheduler.start(place, Optional.empty());
+                Load load = new Load(CLIENTS, over -> putLongBodies(old, over))) {
+            assertThat(load).isNotNull();
             long most = mostTogether(ALONE_MS, List.of(old), kilobytes);
             try (RealScheduler next = RealScheduler.begin(place, Optional.empty())) {
                 most = Math.max(most, mostTogether(BESIDE_MS, List.of(old, next), kilobytes));
@@ -76,11 +71,6 @@
             assertThat(served.get()).as("requests that were served meanwhile").isGreaterThan(LEAST_SERVED);
             System.out.println("both processes of an upgrade held " + most / 1024 + " MB of " + memoryMb);
             return most / 1024;
-        } finally {
-            over.set(true);
-            for (Thread client : clients) {
-                client.join();
-            }
         }
     }
 
@@ -95,21 +85,19 @@
         return most;
     }
 
-    /** Puts long bodies, one after another, on one connection after another. */
-    private void load(RealScheduler scheduler) {
-        while (!over.get()) {
-            try (Socket socket = scheduler.connect()) {
-                DataInputStream in = new DataInputStream(socket.getInputStream());
-                for (int i = 0; i < 20 && !over.get(); i++) {
-                    socket.getOutputStream().write(Site.request("PUT", WRITE, HEADERS, "y".repeat(BODY))
-                            .getBytes(StandardCharsets.ISO_8859_1));
-                    if (Message.read(in).status() == 200) {
-                        served.incrementAndGet();
-                    }
+    /** Puts some long bodies, one after another, on one connection. */
+    private void putLongBodies(RealScheduler scheduler, BooleanSupplier over) {
+        try (Socket socket = scheduler.connect()) {
+            DataInputStream in = new DataInputStream(socket.getInputStream());
+            for (int i = 0; i < ON_ONE_CONNECTION && !over.getAsBoolean(); i++) {
+                socket.getOutputStream().write(Site.request("PUT", WRITE, HEADERS, "y".repeat(BODY))
+                        .getBytes(StandardCharsets.ISO_8859_1));
+                if (Message.read(in).status() == 200) {
+                    served.incrementAndGet();
                 }
-            } catch (IOException ended) {
-                RealScheduler.pause(LOOK_MS);
             }
+        } catch (IOException ended) {
+            RealScheduler.pause(LOOK_MS);
         }
     }
 }
