Refuse at a stop what was never sent, write no bans over those that could not be read yet

Read again after the change: a request that waits for the module at the end of a stop never ran, and is refused (503, harmless) in place of failed; a thread that fails after its answer gives no second one; bans given while the disk does not read are written once the kept ones are known; a mark goes before the holder's line is written.

--- a/src/main/java/cypressglade/cli/BanFile.java
+++ b/src/main/java/cypressglade/cli/BanFile.java
@@ -51,7 +51,9 @@
     /** Keeps the bans as they are now; tells and tries again later where the disk fails. */
     void keep() {
         unwritten = true;
-        write();
+        if (restored) { // else what was kept before would be written over
+            write();
+        }
     }
 
     /** Tries again what the disk refused, and takes over what another process has written since. */
@@ -59,7 +61,7 @@
         if (!restored) {
             restore();
         }
-        if (unwritten) {
+        if (unwritten && restored) {
             write();
         } else if (besideAnother && !modified().equals(seen)) {
             takeOver();
--- a/src/main/java/cypressglade/cli/Doorway.java
+++ b/src/main/java/cypressglade/cli/Doorway.java
@@ -126,8 +126,8 @@
         }
         lock = tryLock(serving.get());
         if (lock != null) {
-            noteHolder(serving.get());
             removeMark();
+            noteHolder(serving.get());
         } else if (mark.isEmpty()) { // another process serves as this scheduler: an upgrade hands over
             mark = Optional.of(UpgradeMark.leave(directory));
             if (takesClients) {
--- a/src/main/java/cypressglade/core/RequestLife.java
+++ b/src/main/java/cypressglade/core/RequestLife.java
@@ -29,6 +29,8 @@
     private final AtomicReference<Phase> phase = new AtomicReference<>(Phase.WAITING);
     private RequestPool pool;
     private final RequestLog log;
+    private boolean worked; // an attempt was made
+    private boolean answered;
     private boolean stopped; // as the request's own task has heard
     private boolean gone; // as the request's own task has heard
     private volatile boolean left; // as it is, for an attempt that has not begun
@@ -118,13 +120,15 @@
 
     @Override
     public void run() {
+        worked = true;
         try {
             work();
-        } catch (RuntimeException | Error fault) { // its client is owed an answer all the same
-            counters.add(Name.ANSWERED_FAILED);
+        } catch (RuntimeException | Error fault) {
             log.note(caller.id(), What.CUT_OFF, "its task failed: " + fault);
-            caller.failed();
-            engine.withdrawn(this, false);
+            if (!answered) { // its client is owed an answer all the same
+                fail();
+                engine.withdrawn(this, false);
+            }
             throw fault;
         } finally {
             pool.over(this);
@@ -154,9 +158,11 @@
             boolean served = ending.status() == Status.OK;
             if (served && !gone) {
                 counters.add(Name.ANSWERED_SERVED);
+                answered = true;
                 caller.served(ending.answer());
             } else if (stopped && !gone) {
-                failAtStop("an attempt was out at node " + send.node());
+                log.note(caller.id(), What.STOPPED, "an attempt was out at node " + send.node());
+                fail();
             }
             engine.ended(this, attempt, send.node(), ending, ending.took().orElseGet(
                     () -> Duration.between(sent, Time.now())), served || gone || stopped);
@@ -175,11 +181,10 @@
                     + refuse.retryAfter().toMillis() + " ms");
             caller.refused(refuse.retryAfter());
         } else if (order instanceof Fail) {
-            counters.add(Name.ANSWERED_FAILED);
             log.note(caller.id(), What.FAILED, "by the module");
-            caller.failed();
+            fail();
         } else if (order instanceof Stop) {
-            failAtStop("no attempt was out");
+            endAtStop();
             engine.withdrawn(this, false);
         } else if (order instanceof Gone) {
             engine.withdrawn(this, false);
@@ -194,9 +199,20 @@
         return true;
     }
 
-    private void failAtStop(String how) {
+    /** Nothing is out for it: what was never sent is refused, which promises that it did not run. */
+    private void endAtStop() {
+        log.note(caller.id(), What.STOPPED, "no attempt was out");
+        if (worked) {
+            fail();
+        } else {
+            counters.add(Name.ANSWERED_REFUSED);
+            caller.refused(Duration.ZERO);
+        }
+    }
+
+    private void fail() {
         counters.add(Name.ANSWERED_FAILED);
-        log.note(caller.id(), What.STOPPED, how);
+        answered = true;
         caller.failed();
     }
 
--- a/src/main/java/cypressglade/operate/HandDrains.java
+++ b/src/main/java/cypressglade/operate/HandDrains.java
@@ -227,9 +227,10 @@
                 told.keySet().stream().sorted().limit(MOST_NAMED).toList());
     }
 
-    /** Takes bans of a former life or of the process that this one upgrades, before any list. */
+    /** Takes bans of a former life or of the process that this one upgrades, beside those that hold. */
     public synchronized void restoreBans(Collection<String> kept) {
         bans.addAll(kept);
+        kept.forEach(this::showIfTold);
     }
 
     /** Takes the bans that the process beside this one has decided on, in place of those that held here. */
