Take whoever asks in both processes of an upgrade; halve threads and idle clients alone

Cause: with client connections halved the old process, over its half, stopped accepting while the kernel dealt it connections. Ruled out: the close of the port at SIGTERM (unchanged here) and the smaller heap. Change: who asks is taken up to the whole bound, clients at rest make way from half of it on; requests wait without a thread as before, threads are halved.

--- a/src/main/java/cypressglade/cli/Serve.java
+++ b/src/main/java/cypressglade/cli/Serve.java
@@ -157,7 +157,7 @@
     private void deal(Config shared) {
         Budget budget = shared.budget().among(processes);
         clients.use(shared.settings(), budget);
-        pool.use(budget.requests());
+        pool.use(budget.requests(), budget.threads());
         nodes.use(budget.answerBytes(), shared.settings().loadNames());
         connections.use(shared.connectTimeout(), shared.idleLimit(), budget.nodeConnections());
     }
--- a/src/main/java/cypressglade/config/Budget.java
+++ b/src/main/java/cypressglade/config/Budget.java
@@ -39,9 +39,14 @@
         return Math.max(LEAST_HEAP_MB, (memoryMb - BESIDE_HEAPS_MB) / HEAP_PART) * BYTES_OF_MB;
     }
 
-    /** Requests that may be open at once: each has a thread. */
+    /** Requests that may be open at once, waiting or sent. */
     public int requests() {
-        return Math.min(MOST_REQUESTS, memoryMb * 4 / 3) / processes;
+        return Math.min(MOST_REQUESTS, memoryMb * 4 / 3);
+    }
+
+    /** Of these, those that may be out at nodes at once: each has a thread, and its stack. */
+    public int threads() {
+        return requests() / processes;
     }
 
     /** Room for bodies of open requests, in bytes. */
@@ -67,11 +72,21 @@
         return shared() * 11 / 20;
     }
 
+    /**
+     * Client connections beyond which those at rest make way, so that a crowd does not fill the descriptors
+     * of two processes. Whoever asks is taken all the same: a process that listens and does not accept loses
+     * requests.
+     */
+    public int clientsWithoutCrowd() {
+        return clientConnections() / processes;
+    }
+
+    /** Connections to storage nodes; as the clients', they are used by two processes in turn. */
     public int nodeConnections() {
         return shared() - clientConnections();
     }
 
     private int shared() {
-        return sockets / processes - OWN_FILES - NBD_CLIENTS;
+        return sockets - OWN_FILES - NBD_CLIENTS;
     }
 }
--- a/src/main/java/cypressglade/core/RequestPool.java
+++ b/src/main/java/cypressglade/core/RequestPool.java
@@ -81,10 +81,12 @@
         working.forEach(RequestLife::stop);
     }
 
-    /** Takes a new bound; what runs goes on. */
-    public void use(int next) {
-        most = next;
-        threads.setMaximumPoolSize(next);
+    /**
+     * Takes new bounds, on requests that are open and on those of them that have a thread; what runs goes on.
+     */
+    public void use(int mostOpen, int mostThreads) {
+        most = mostOpen;
+        threads.setMaximumPoolSize(mostThreads);
     }
 
     /** How many requests are open. */
--- a/src/main/java/cypressglade/http/ClientListener.java
+++ b/src/main/java/cypressglade/http/ClientListener.java
@@ -277,12 +277,17 @@
         List.copyOf(clients.values()).stream().filter(client -> client.idle() && client.answered)
                 .filter(client -> client.since.isBefore(now.minus(RESTED)))
                 .sorted(Comparator.comparing(client -> client.since))
-                .limit(Math.max(0, clients.size() - mostClients() + CROSSING))
+                .limit(Math.max(0, clients.size() - mostWithoutCrowd() + CROSSING))
                 .forEach(client -> closeIfAtRest(client, "crowded, and at rest"));
     }
 
     private boolean crowded() {
-        return clients.size() >= mostClients() * 5 / 6; // the platform's own stay below that
+        return clients.size() >= mostWithoutCrowd() * 5 / 6; // the platform's own stay below that
+    }
+
+    /** Clients beyond which those at rest make way. */
+    private int mostWithoutCrowd() {
+        return Math.min(atOnce, budget.clientsWithoutCrowd());
     }
 
     private void sweep() {
--- a/src/test/c/faults.c
+++ b/src/test/c/faults.c
@@ -5,8 +5,10 @@
  *   accept   accept fails with ENFILE
  *   connect  connect fails with EADDRNOTAVAIL
  *   stall    a thread is held up for 150 ms after a wait of a few ms that no event ended, as a timer's is
- *   late     a thread is held up for 250 ms between an event and what it does about it, some three times a second
+ *   late     a thread is held up for 250 ms between each wait that an event ended and what it does then
  *   disk     opening for writing, renaming and syncing fail with ENOSPC or EIO on paths that hold "cypressglade-"
+ *   back     the wall clock is an hour behind
+ *   ahead    the wall clock is an hour ahead
  *   read     opening the configuration (a path that ends in "config.json") fails with EIO
  */
 #define _GNU_SOURCE
@@ -23,7 +25,7 @@
 #include <time.h>
 #include <unistd.h>
 
-enum { SHORT_WAIT_MS = 5, STALL_MS = 150, LATE_MS = 250, BETWEEN_MS = 100 };
+enum { SHORT_WAIT_MS = 5, STALL_MS = 150, LATE_MS = 250, STEP_S = 3600 };
 
 static int on(const char *fault) {
     const char *directory = getenv("FAULT_DIR");
@@ -67,38 +69,37 @@
     return on("connect") ? fail(EADDRNOTAVAIL) : real(socket, address, length);
 }
 
-static long long now_ms(void) {
-    struct timespec now;
-    clock_gettime(CLOCK_MONOTONIC, &now);
-    return now.tv_sec * 1000LL + now.tv_nsec / 1000000;
-}
-
 static void hold_up(int milliseconds) {
     int before = errno;
     usleep(milliseconds * 1000);
     errno = before;
 }
 
-/* A thread that is held up at every event would do nothing else. */
-static void hold_up_now_and_then(int milliseconds) {
-    static __thread long long last;
-    if (now_ms() - last >= BETWEEN_MS) {
-        hold_up(milliseconds);
-        last = now_ms();
-    }
-}
-
 int epoll_wait(int poll, struct epoll_event *events, int most, int timeout) {
     int (*real)(int, struct epoll_event *, int, int) = dlsym(RTLD_NEXT, "epoll_wait");
     int ready = real(poll, events, most, timeout);
     if (ready == 0 && timeout > 0 && timeout <= SHORT_WAIT_MS && on("stall")) {
         hold_up(STALL_MS);
     } else if (ready > 0 && timeout != 0 && on("late")) {
-        hold_up_now_and_then(LATE_MS);
+        hold_up(LATE_MS);
     }
     return ready;
 }
 
+int clock_gettime(clockid_t clock, struct timespec *time) {
+    static int (*real)(clockid_t, struct timespec *);
+    if (real == NULL) {
+        real = dlsym(RTLD_NEXT, "clock_gettime");
+    }
+    int done = real(clock, time);
+    if (clock == CLOCK_REALTIME && on("back")) {
+        time->tv_sec -= STEP_S;
+    } else if (clock == CLOCK_REALTIME && on("ahead")) {
+        time->tv_sec += STEP_S;
+    }
+    return done;
+}
+
 static int refused(const char *path, int flags) {
     int writes = (flags & O_ACCMODE) != O_RDONLY;
     if (writes && kept(path) && on("disk")) {
--- a/src/test/java/cypressglade/config/ConfigTest.java
+++ b/src/test/java/cypressglade/config/ConfigTest.java
@@ -136,10 +136,10 @@
     void twoProcessesShareWhatOneMayHold(int memory, int sockets) {
         Budget one = new Budget(memory, sockets);
         Budget half = one.among(2);
-        assertThat(2 * half.requests()).isLessThanOrEqualTo(one.requests());
-        assertThat(2 * (half.clientConnections() + half.nodeConnections() + 50)).isLessThanOrEqualTo(sockets);
-        assertThat(half.clientConnections()).isPositive();
-        assertThat(half.nodeConnections()).isPositive();
+        assertThat(2 * half.threads()).isLessThanOrEqualTo(one.threads());
+        assertThat(2 * half.clientsWithoutCrowd()).isLessThanOrEqualTo(one.clientsWithoutCrowd()).isPositive();
+        assertThat(half.requests()).as("what waits needs no thread").isEqualTo(one.requests());
+        assertThat(half.clientConnections()).as("who asks is taken").isEqualTo(one.clientConnections());
     }
 
     /** The operators' own file has the view on, the one that {@code run} reads keeps all of it off. */
--- a/src/test/java/cypressglade/process/HeldUpIT.java
+++ b/src/test/java/cypressglade/process/HeldUpIT.java
@@ -33,6 +33,7 @@
 class HeldUpIT {
     private static final String READ = "/job-read/00000003b4d60021/7f3a9c21e0b4d655";
     private static final String HEADERS = Site.headers(900, "standard", "units=1,shard=0,hosts=1");
+    private static final String LONG_HEADERS = Site.headers(8000, "standard", "units=1,shard=0,hosts=1");
     private static final int CLIENTS = 200;
     /** Idle connections are closed after 2.2 s; requests are sent round that time. */
     private static final int FIRST_MS = 2150;
@@ -40,7 +41,10 @@
     private static final int STEP_MS = 10;
     /** Whoever is closed so soon after he asked may have crossed the close, and asks again elsewhere. */
     private static final long CROSSING_MS = 20;
-    private static final long LEAVE_AFTER_MS = 20;
+    private static final long NODE_MS = 30;
+    private static final int LEAVERS = 40;
+    private static final long LEAVE_STEP_MS = 25;
+    private static final long SETTLE_MS = 1500;
     private static final long LATE_START_MS = 100;
 
     @TempDir
@@ -48,6 +52,7 @@
     private final ConcurrentMap<String, Long> begun = new ConcurrentHashMap<>();
     private final HttpPeer node = new HttpPeer((request, out) -> {
         begun.put(request.headers().get("x-trace-id"), System.nanoTime());
+        RealScheduler.pause(NODE_MS);
         HttpPeer.answer(200, "", "the data").answer(request, out);
     });
     private final ExecutorService threads = Executors.newFixedThreadPool(CLIENTS);
@@ -125,20 +130,23 @@
         }
     }
 
-    /** Guards against an attempt for a client whose end had come before the process acted. */
+    /**
+     * Guards against an attempt for a client whose end had come before the process acted. Connections to the node
+     * stand ready, so that nothing but the hold-up lies between the order to send and the first byte.
+     */
     @Test
     void nothingBeginsForAClientThatLeftWhileTheProcessWasHeldUp() throws Exception {
+        askAtOnce(LEAVERS);
         faults.on("late");
         ConcurrentMap<String, Long> left = new ConcurrentHashMap<>();
         List<Future<?>> clients = new ArrayList<>();
-        for (int i = 0; i < CLIENTS; i++) {
+        for (int i = 0; i < LEAVERS; i++) {
             String id = "left" + i;
-            int wait = i * STEP_MS;
+            long stay = i * LEAVE_STEP_MS;
             clients.add(threads.submit(() -> {
-                RealScheduler.pause(wait);
                 try (Socket client = scheduler.connect()) {
-                    send(client, Site.request("GET", READ, HEADERS.replace("(new)", id), ""));
-                    RealScheduler.pause(LEAVE_AFTER_MS + wait % 50);
+                    send(client, Site.request("GET", READ, LONG_HEADERS.replace("(new)", id), ""));
+                    RealScheduler.pause(stay);
                 }
                 left.put(id, System.nanoTime());
                 return null;
@@ -148,7 +156,7 @@
             client.get(20, TimeUnit.SECONDS);
         }
         faults.off("late");
-        RealScheduler.pause(1500);
+        RealScheduler.pause(SETTLE_MS);
         List<String> late = new ArrayList<>();
         left.forEach((id, when) -> {
             long after = begun.containsKey(id) ? (begun.get(id) - when) / 1_000_000 : 0;
@@ -159,6 +167,22 @@
         assertThat(late).isEmpty();
     }
 
+    /** Has so many requests open at once, and with them as many connections to the node. */
+    private void askAtOnce(int count) throws Exception {
+        List<Future<Integer>> answers = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            answers.add(threads.submit(() -> {
+                try (Socket client = scheduler.connect()) {
+                    send(client, Site.request("GET", READ, LONG_HEADERS, ""));
+                    return Message.read(new DataInputStream(client.getInputStream())).status();
+                }
+            }));
+        }
+        for (Future<Integer> answer : answers) {
+            assertThat(answer.get(20, TimeUnit.SECONDS)).isEqualTo(200);
+        }
+    }
+
     private static void send(Socket client, String text) throws IOException {
         client.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
     }
