Hand on connections behind what was told before, note a write in doubt at its client's leave

RetuneTest: a request that came after a reload was judged by the old settings (404), as Acceptor handed connections over before the tasks that were queued earlier; XNIO's server queued them, and Listening does again. StormFrontTest: a client's second try overtook the note that its first write is in doubt, which took two threads' turns after its leave; the engine hears of the leave from the I/O thread now. Both tests pass.

--- a/src/main/java/cypressglade/core/Engine.java
+++ b/src/main/java/cypressglade/core/Engine.java
@@ -268,6 +268,14 @@
         });
     }
 
+    /**
+     * The client of a request has gone; its task says so too, but may come to it only after the client's next
+     * try is here. What may have run by then is in doubt from now on.
+     */
+    void left(RequestLife<?> life) {
+        gate.ifPresent(kept -> post(() -> kept.givenUp(life, life.ordered > life.ended, Time.now())));
+    }
+
     /**
      * Nothing is owed any more. Where no attempt is out, one may still have been ordered that its task will
      * not make: it never ran, and the module must not wait for it.
--- a/src/main/java/cypressglade/core/RequestLife.java
+++ b/src/main/java/cypressglade/core/RequestLife.java
@@ -115,6 +115,7 @@
     /** The client went away: the module hears of it, nothing is answered, and nothing begins any more. */
     public void clientGone() {
         left = true;
+        engine.left(this); // before the client can come again by another connection
         signal(new Gone());
     }
 
--- a/src/main/java/cypressglade/net/Listening.java
+++ b/src/main/java/cypressglade/net/Listening.java
@@ -24,7 +24,7 @@
             @Override
             public void accepted(StreamConnection connection) {
                 noteAccepted();
-                accepted.accept(connection);
+                loop.execute(() -> accepted.accept(connection)); // behind what was told before it came
             }
 
             @Override
