--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 test:
 	mvn -B verify
 
-# The compiler's warnings are errors; line lengths and the module's size are checked with them.
+# The compiler's warnings are errors; line lengths and sizes of files are checked with them.
 lint:
 	mvn -B -q clean test-compile surefire:test -Dtest=SourceLimitsTest
 
