Walk the marks in one place, forget starts by the ids that stay, drop a logger that nobody uses

Read again: UpgradeMark walked its directory twice with the same loop, NodeDirectory gathered at each list a set of ids that the keys of its numbers are already and read two clocks for each node, ClientListener kept a logger for a call that is gone, and Budget's comment still spoke of all that follows the load. Behaviour as before. A first merge of the two walks would have opened this process's own mark, which gives its lock back (fcntl); the walk passes it over and says why. NewcomerKilledIT, DiskFaultIT, HalfBodyIT and ten classes round the change pass.

--- a/src/main/java/cypressglade/cli/UpgradeMark.java
+++ b/src/main/java/cypressglade/cli/UpgradeMark.java
@@ -13,6 +13,8 @@
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 
 /**
@@ -69,16 +71,29 @@
      * @throws IOException where the directory cannot be read
      */
     static Optional<Other> other(Path directory, Optional<UpgradeMark> own) throws IOException {
-        removeUnfinished(directory);
+        living(directory, UNFINISHED, own); // of a process that lives it has its name soon
         Optional<Other> found = Optional.empty();
-        try (DirectoryStream<Path> marks = Files.newDirectoryStream(directory, PREFIX + "*")) {
+        for (Path mark : living(directory, PREFIX, own)) {
+            boolean serving = found.filter(Other::serving).isPresent() || says(mark);
+            found = Optional.of(new Other(serving));
+        }
+        return found;
+    }
+
+    /**
+     * Files of a kind whose processes live; those of dead ones are removed. This process's own is not
+     * touched: to open and close it anywhere in the process would give its lock back (POSIX, fcntl).
+     */
+    private static List<Path> living(Path directory, String prefix, Optional<UpgradeMark> own)
+            throws IOException {
+        List<Path> living = new ArrayList<>();
+        try (DirectoryStream<Path> marks = Files.newDirectoryStream(directory, prefix + "*")) {
             for (Path mark : marks) {
                 if (own.isPresent() && own.get().file.equals(mark)) {
                     continue;
                 }
                 if (locked(mark)) {
-                    boolean serving = found.filter(Other::serving).isPresent() || says(mark);
-                    found = Optional.of(new Other(serving));
+                    living.add(mark);
                 } else {
                     Files.deleteIfExists(mark);
                 }
@@ -86,20 +101,7 @@
         } catch (DirectoryIteratorException unreadable) {
             throw unreadable.getCause();
         }
-        return found;
-    }
-
-    /** Of processes that died before their mark had its name; one that lives makes its anew. */
-    private static void removeUnfinished(Path directory) throws IOException {
-        try (DirectoryStream<Path> left = Files.newDirectoryStream(directory, UNFINISHED + "*")) {
-            for (Path unfinished : left) {
-                if (!locked(unfinished)) {
-                    Files.deleteIfExists(unfinished);
-                }
-            }
-        } catch (DirectoryIteratorException unreadable) {
-            throw unreadable.getCause();
-        }
+        return living;
     }
 
     private static boolean says(Path mark) throws IOException {
--- a/src/main/java/cypressglade/config/Budget.java
+++ b/src/main/java/cypressglade/config/Budget.java
@@ -4,7 +4,7 @@
  * What the platform lets this program hold, and how it is dealt out; the README has the arithmetic. The
  * limits are one scheduler's, and an upgrade has two processes of it side by side. What a process holds from
  * its start on (the heap and what stands in it) is sized for two always, as a heap does not shrink when the
- * second process comes; what follows the load is halved while both serve.
+ * second process comes; threads and the room for idle clients are halved while both serve.
  *
  * @param memoryMb the limit on memory in MB, for all processes of this scheduler together
  * @param sockets the limit on descriptors, for all of them together
--- a/src/main/java/cypressglade/core/NodeDirectory.java
+++ b/src/main/java/cypressglade/core/NodeDirectory.java
@@ -39,12 +39,14 @@
     /** Takes in a list; returns the module's form of it. */
     public synchronized List<NodeEntry> update(NodeList list) {
         version = list.version();
+        Instant now = Time.now();
+        Instant wall = Instant.now();
         Set<Long> named = new HashSet<>();
         List<NodeEntry> entries = new ArrayList<>();
         for (NodeList.Entry entry : list.entries()) {
             long number = numbers.computeIfAbsent(entry.id(), id -> ++lastNumber);
             named.add(number);
-            Instant runsSince = starts.onOurClock(entry.id(), entry.started(), Time.now(), Instant.now());
+            Instant runsSince = starts.onOurClock(entry.id(), entry.started(), now, wall);
             nodes.put(number, new Known(entry.id(), entry.address(), entry.cell(), entry.state(),
                     entry.started(), runsSince));
             entries.add(new NodeEntry(number, entry.zone(), entry.state(), entry.cell(), entry.weight(),
@@ -54,8 +56,8 @@
             nodes.keySet().retainAll(named);
         }
         nodes.values().removeIf(node -> node.state() == State.GONE);
-        starts.retain(nodes.values().stream().map(Known::id).collect(Collectors.toSet()));
         numbers.values().retainAll(nodes.keySet()); // replaced nodes come with new ids, all day long
+        starts.retain(numbers.keySet());
         return entries;
     }
 
--- a/src/main/java/cypressglade/http/ClientListener.java
+++ b/src/main/java/cypressglade/http/ClientListener.java
@@ -58,7 +58,6 @@
  * end what they say, must not keep the others out.
  */
 public final class ClientListener implements AutoCloseable {
-    private static final System.Logger LOG = System.getLogger(ClientListener.class.getName());
     private static final int MOST_BODY = 64 * 1024;
     private static final int MOST_HEAD = 16 * 1024;
     private static final int BUFFER = 4 * 1024;
