Tell uncertain writes' classes by name, so that a moved class runs no write twice

Seen: with the measures against storms on, a reload or a restart whose settings list the classes in another order lets the marked retry of a write that may have run reach its node again. Cause: the fingerprint by which a retry is recognized (storm.ClientRequest) held the index of the class in the settings, in memory and in doubts.snap. An index means another class, or none, under other settings. Change: the fingerprint holds the class's name. Tests: StormFrontTest.uncertainWriteIsSentOnceWhenAReloadMovesItsClass failed before (storm_writes_kept_once 0 in place of 1: the retry went to the node), ...WhenARestartMovesItsClass failed before (answered 200 in place of 502). UncertainWritesTest checks that the earlier format is rejected whole. Passing now with RetryAdmissionTest.

--- a/src/main/java/cypressglade/core/RetryStormFilter.java
+++ b/src/main/java/cypressglade/core/RetryStormFilter.java
@@ -158,7 +158,7 @@
                 request.volume(),
                 plan == null ? 1 : Math.max(plan.weight(), 0.01),
                 request.key(),
-                request.requestClass(),
+                type == null ? "" : type.name(),
                 request.units(),
                 request.isRetry(),
                 effect(type, request),
--- a/src/main/java/cypressglade/storm/ClientRequest.java
+++ b/src/main/java/cypressglade/storm/ClientRequest.java
@@ -10,7 +10,7 @@
  * @param volume id of the volume
  * @param weight weight of the volume's plan among others, above 0
  * @param key the data that the request touches
- * @param requestClass index of the request's class in the settings
+ * @param requestClass name of the request's class, which stays the same over reloads and restarts
  * @param units cost of the request in cost units
  * @param isRetry whether the client marks it as a retry of an earlier request
  * @param effect what running it a second time would do
@@ -23,7 +23,7 @@
         long volume,
         double weight,
         long key,
-        int requestClass,
+        String requestClass,
         double units,
         boolean isRetry,
         Effect effect,
@@ -42,7 +42,7 @@
     }
 
     /** What an original request and its retries have in common. */
-    record Fingerprint(long volume, long key, int requestClass, double units, long token) {}
+    record Fingerprint(long volume, long key, String requestClass, double units, long token) {}
 
     Fingerprint fingerprint() {
         return new Fingerprint(volume, key, requestClass, units, token);
--- a/src/main/java/cypressglade/storm/UncertainWrites.java
+++ b/src/main/java/cypressglade/storm/UncertainWrites.java
@@ -2,8 +2,7 @@
 
 import cypressglade.storm.ClientRequest.Effect;
 import cypressglade.storm.ClientRequest.Fingerprint;
-import java.nio.BufferUnderflowException;
-import java.nio.ByteBuffer;
+import cypressglade.storm.UncertainWritesCodec.Snapshot;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Iterator;
@@ -24,8 +23,6 @@
     /** Writes that are remembered at a time, some 200 bytes of memory each. */
     public static final int MAX_WRITES = 8192;
 
-    private static final int ENTRY_BYTES = 5 * Long.BYTES + Integer.BYTES + Double.BYTES;
-
     /**
      * Part of the time for which nodes remember an idempotency key during which a retry is sent.
      */
@@ -36,7 +33,13 @@
     private final Map<Fingerprint, Entry> entries = new LinkedHashMap<>(); // oldest first
     private Instant allUncertainUntil;
 
-    private record Entry(Instant firstSent, Instant expiry) {}
+    /**
+     * What is known of one uncertain write.
+     *
+     * @param firstSent when it was first sent to a node
+     * @param expiry when it is forgotten
+     */
+    record Entry(Instant firstSent, Instant expiry) {}
 
     /**
      * Creates an empty memory of {@link #MAX_WRITES} writes.
@@ -119,26 +122,10 @@
         }
     }
 
-    /**
-     * Serializes the remembered writes for {@link #restore}. Big-endian: the time until which all
-     * retries are uncertain, the number of writes, and for each the volume, key, class, units,
-     * token, first send and expiry. Times are milliseconds of the system clock since the epoch.
-     */
+    /** Serializes the remembered writes for {@link #restore}. */
     public byte[] serialize(Instant now) {
         expire(now);
-        ByteBuffer out =
-                ByteBuffer.allocate(Long.BYTES + Integer.BYTES + entries.size() * ENTRY_BYTES);
-        out.putLong(allUncertainUntil.toEpochMilli()).putInt(entries.size());
-        entries.forEach(
-                (fingerprint, entry) ->
-                        out.putLong(fingerprint.volume())
-                                .putLong(fingerprint.key())
-                                .putInt(fingerprint.requestClass())
-                                .putDouble(fingerprint.units())
-                                .putLong(fingerprint.token())
-                                .putLong(entry.firstSent.toEpochMilli())
-                                .putLong(entry.expiry.toEpochMilli()));
-        return out.array();
+        return UncertainWritesCodec.encode(new Snapshot(allUncertainUntil, entries));
     }
 
     /**
@@ -148,33 +135,8 @@
      *     then
      */
     public void restore(byte[] bytes) {
-        Map<Fingerprint, Entry> restored = new LinkedHashMap<>();
-        Instant uncertainUntil;
-        try {
-            ByteBuffer in = ByteBuffer.wrap(bytes);
-            uncertainUntil = Instant.ofEpochMilli(in.getLong());
-            int count = in.getInt();
-            if (count < 0 || count > maxWrites || in.remaining() != count * ENTRY_BYTES) {
-                throw new IllegalArgumentException(
-                        count + " writes in " + in.remaining() + " bytes");
-            }
-            for (int i = 0; i < count; i++) {
-                restored.put(
-                        new Fingerprint(
-                                in.getLong(),
-                                in.getLong(),
-                                in.getInt(),
-                                in.getDouble(),
-                                in.getLong()),
-                        new Entry(
-                                Instant.ofEpochMilli(in.getLong()),
-                                Instant.ofEpochMilli(in.getLong())));
-            }
-        } catch (BufferUnderflowException truncated) {
-            throw new IllegalArgumentException(
-                    "truncated after " + bytes.length + " bytes", truncated);
-        }
-        allUncertainUntil = later(allUncertainUntil, uncertainUntil);
-        entries.putAll(restored);
+        Snapshot restored = UncertainWritesCodec.decode(bytes, maxWrites);
+        allUncertainUntil = later(allUncertainUntil, restored.allUncertainUntil());
+        entries.putAll(restored.entries());
     }
 }
--- a/src/test/java/cypressglade/http/StormFrontTest.java
+++ b/src/test/java/cypressglade/http/StormFrontTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import cypressglade.cli.OperatorFiles;
+import cypressglade.config.Config;
 import cypressglade.config.StormsConfigParser;
 import cypressglade.core.Counters.Name;
 import cypressglade.standin.HttpPeer;
@@ -20,6 +21,7 @@
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.UnaryOperator;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -52,6 +54,11 @@
     }
 
     private Site site(Optional<Path> uncertainWritesDirectory) throws Exception {
+        return site(uncertainWritesDirectory, UnaryOperator.identity());
+    }
+
+    private Site site(Optional<Path> uncertainWritesDirectory, UnaryOperator<String> change)
+            throws Exception {
         Path file =
                 Files.writeString(
                         folder.resolve("storms.json"),
@@ -65,7 +72,11 @@
                                                         .orElse("")
                                                 + "\""));
         Optional<StormSettings> settings = StormsConfigParser.read(file);
-        return new Site(Site.entry(0, node.hostPort(), "active", 0), files(settings));
+        return new Site(nodeEntry(), files(settings), UnaryOperator.identity(), change);
+    }
+
+    private String nodeEntry() {
+        return Site.entry(0, node.hostPort(), "active", 0);
     }
 
     private static OperatorFiles files(Optional<StormSettings> settings) {
@@ -141,6 +152,35 @@
         }
     }
 
+    /** Guards against a write running twice because its class has another index since a reload. */
+    @Test
+    void uncertainWriteIsSentOnceWhenAReloadMovesItsClass() throws Exception {
+        try (Site site = site(Optional.empty())) {
+            startUncertainWrite(site);
+            Config next =
+                    Site.config(
+                            nodeEntry(), site.discovery.hostPort(), Site::classesInReverseOrder);
+            site.serve.use(next, files(Optional.of(StormSettings.DEFAULTS)));
+            assertRetryIsNotSent(site, "after a reload that moved its class");
+        }
+    }
+
+    /**
+     * Guards against a write running twice because a restart's settings list its class elsewhere.
+     */
+    @Test
+    void uncertainWriteIsSentOnceWhenARestartMovesItsClass() throws Exception {
+        Path directory = Files.createDirectory(folder.resolve("state"));
+        try (Site site = site(Optional.of(directory))) {
+            startUncertainWrite(site);
+            firstMayEnd.countDown();
+            site.drain().get(10, TimeUnit.SECONDS);
+        }
+        try (Site site = site(Optional.of(directory), Site::classesInReverseOrder)) {
+            assertRetryIsNotSent(site, "after a restart that moved its class");
+        }
+    }
+
     @Test
     void waveOfNewConnectionsDoesNotStopConnectedClients() throws Exception {
         List<Socket> crowd = new ArrayList<>();
--- a/src/test/java/cypressglade/standin/Site.java
+++ b/src/test/java/cypressglade/standin/Site.java
@@ -27,6 +27,7 @@
     private static final String NEW_ID = "(new)";
     private static final AtomicLong IDS = new AtomicLong(0x9b1f03aa5c7e2d40L);
     private static final String END = "end of the watch";
+
     private final AtomicInteger watches = new AtomicInteger();
 
     /** Lines put here go out on the watch. */
@@ -135,6 +136,24 @@
         }
     }
 
+    /** The example's text with its two classes in the other order. */
+    public static String classesInReverseOrder(String text) {
+        return reverseOrder(text, "job-read", "job-write")
+                .replace("\"changesData\":[false,true]", "\"changesData\":[true,false]");
+    }
+
+    /** The example's text with its two plans in the other order. */
+    public static String plansInReverseOrder(String text) {
+        return reverseOrder(text, "basic", "standard");
+    }
+
+    /** Swaps two objects that follow one another; neither holds another object. */
+    private static String reverseOrder(String text, String first, String second) {
+        String object = "(\\{\"name\":\"%s\"[^{}]*})";
+        return text.replaceFirst(
+                object.formatted(first) + "(,\\s*)" + object.formatted(second), "$3$2$1");
+    }
+
     /** One node of a list; the start in milliseconds since the epoch, 0 for long ago. */
     public static String entry(int node, String address, String state, long startedMs) {
         return "{\"id\":\"s-"
--- a/src/test/java/cypressglade/storm/UncertainWritesTest.java
+++ b/src/test/java/cypressglade/storm/UncertainWritesTest.java
@@ -4,6 +4,7 @@
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import cypressglade.storm.ClientRequest.Effect;
+import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Arrays;
@@ -18,7 +19,8 @@
     private final UncertainWrites writes = new UncertainWrites(4, TTL, now);
 
     private static ClientRequest write(long key, boolean isRetry, Effect effect) {
-        return new ClientRequest(0, 7, 1, key, 1, 2, isRetry, effect, 0, KEY_TTL, Instant.MAX);
+        return new ClientRequest(
+                0, 7, 1, key, "write", 2, isRetry, effect, 0, KEY_TTL, Instant.MAX);
     }
 
     @Test
@@ -75,6 +77,21 @@
                 .isTrue();
     }
 
+    /** One write as earlier programs stored it, with its class by its index in their settings. */
+    private byte[] formatWithClassIndexes() {
+        return ByteBuffer.allocate(64)
+                .putLong(now.toEpochMilli())
+                .putInt(1)
+                .putLong(7)
+                .putLong(1)
+                .putInt(1)
+                .putDouble(2)
+                .putLong(0)
+                .putLong(now.toEpochMilli())
+                .putLong(now.plus(TTL).toEpochMilli())
+                .array();
+    }
+
     @Test
     void writesAreRestoredAfterARestart() {
         writes.add(write(1, false, Effect.TWICE), now, now);
@@ -95,6 +112,8 @@
                 .isInstanceOf(IllegalArgumentException.class);
         assertThatThrownBy(() -> restored.restore(new byte[3]))
                 .isInstanceOf(IllegalArgumentException.class);
+        assertThatThrownBy(() -> restored.restore(formatWithClassIndexes()))
+                .isInstanceOf(IllegalArgumentException.class);
         assertThat(restored.size()).isEqualTo(1);
     }
 }
