Show waiting requests under the class they arrived with, by its name

Seen: after a reload that moves or removes classes the console and the command `queues` show the requests that wait since before it in the queue of another class, or not at all. Change: Scheduler.QueueView lists a ClassQueue by name for each class in the settings, and one more for each other class of which requests wait. The control service needs no list of names any more. Its JSON has the same keys.

--- a/src/main/java/cypressglade/cli/Serve.java
+++ b/src/main/java/cypressglade/cli/Serve.java
@@ -139,7 +139,6 @@
                                         engine,
                                         counters,
                                         drains,
-                                        () -> this.config.settings().classNames(),
                                         this::members,
                                         () -> InForce.of(this.config, this.files)));
         door =
--- a/src/main/java/cypressglade/control/ControlService.java
+++ b/src/main/java/cypressglade/control/ControlService.java
@@ -3,8 +3,10 @@
 import com.fasterxml.jackson.core.JsonGenerator;
 import cypressglade.core.Counters;
 import cypressglade.core.Engine;
+import cypressglade.core.Micros;
 import cypressglade.core.MonotonicClock;
 import cypressglade.core.NodeStatus;
+import cypressglade.core.Scheduler.ClassQueue;
 import cypressglade.core.Scheduler.QueueView;
 import cypressglade.core.Scheduler.Reason;
 import cypressglade.member.Member;
@@ -47,7 +49,6 @@
     private final ManualDrains drains;
     private final EventLog events = new EventLog();
     private final StatusCache statusCache;
-    private final Supplier<List<String>> classes;
     private final Supplier<List<Member>> members;
     private final Supplier<Map<String, String>> settings;
     private final SnapshotStore store;
@@ -60,7 +61,6 @@
      * @param engine the source of the status
      * @param counters the counters to show
      * @param drains the drains that clients read and change
-     * @param classes the names of the request classes in the current settings
      * @param members the instances that this one sees, itself first; empty without peers
      * @param settings the current settings by name
      * @throws IOException if the socket cannot be opened; the message says why and what to do
@@ -70,14 +70,12 @@
             Engine engine,
             Counters counters,
             ManualDrains drains,
-            Supplier<List<String>> classes,
             Supplier<List<Member>> members,
             Supplier<Map<String, String>> settings)
             throws IOException {
         this.engine = engine;
         this.counters = counters;
         this.drains = drains;
-        this.classes = classes;
         this.members = members;
         this.settings = settings;
         statusCache = new StatusCache(this::readStatus);
@@ -108,8 +106,7 @@
     }
 
     private SchedulerStatus status(List<NodeStatus> nodes, QueueView queues) {
-        return new SchedulerStatus(
-                MonotonicClock.now(), nodes, classes.get(), queues, drains.list());
+        return new SchedulerStatus(MonotonicClock.now(), nodes, queues, drains.list());
     }
 
     /** Records finished drains; reads the nodes only while a drain is unfinished. */
@@ -263,12 +260,11 @@
         }
         out.writeEndArray();
         out.writeArrayFieldStart("queues");
-        for (int i = 0; i < status.queues().queued().length; i++) {
+        for (ClassQueue queue : status.queues().classes()) {
             out.writeStartObject();
-            out.writeStringField(
-                    "class", i < status.classes().size() ? status.classes().get(i) : "?");
-            out.writeNumberField("held", status.queues().queued()[i]);
-            out.writeNumberField("oldest_ms", status.queues().oldestWaitUs()[i] / 1000);
+            out.writeStringField("class", queue.className());
+            out.writeNumberField("held", queue.queued());
+            out.writeNumberField("oldest_ms", Micros.toDuration(queue.oldestWaitUs()).toMillis());
             out.writeEndObject();
         }
         out.writeEndArray();
--- a/src/main/java/cypressglade/core/Scheduler.java
+++ b/src/main/java/cypressglade/core/Scheduler.java
@@ -397,11 +397,22 @@
     /**
      * Requests that wait, and those that were not served.
      *
-     * @param queued by class: how many wait
-     * @param oldestWaitUs by class: the longest wait among them
+     * @param classes the classes in the settings, in their order, and then others of which requests
+     *     wait
      * @param unserved by {@link Reason}: how many were not served since the start
      */
-    record QueueView(int[] queued, long[] oldestWaitUs, long[] unserved) {}
+    record QueueView(List<ClassQueue> classes, long[] unserved) {}
+
+    /**
+     * The requests of one class that wait.
+     *
+     * @param oldestWaitUs the longest wait among them; 0 where none waits
+     */
+    record ClassQueue(String className, int queued, long oldestWaitUs) {
+        ClassQueue withRequest(long waitUs) {
+            return new ClassQueue(className, queued + 1, Math.max(oldestWaitUs, waitUs));
+        }
+    }
 
     /**
      * A class of requests.
--- a/src/main/java/cypressglade/core/SchedulingPolicy.java
+++ b/src/main/java/cypressglade/core/SchedulingPolicy.java
@@ -365,21 +365,22 @@
 
     @Override
     public QueueView queueView(long now) {
-        int[] waiting = new int[settings.classes().size()];
-        long[] oldest = new long[waiting.length];
+        Map<String, ClassQueue> queues = new LinkedHashMap<>();
+        settings.classNames().forEach(name -> queues.put(name, new ClassQueue(name, 0, 0)));
         for (TrackedNode node : nodes.values()) {
             Stream.concat(node.queue.stream(), node.awaitingProbe.stream())
-                    .filter(pending -> pending.request.requestClass() < waiting.length)
-                    .forEach(pending -> countWaiting(now, pending, waiting, oldest));
+                    .forEach(pending -> countWaiting(now, pending, queues));
         }
-        return new QueueView(waiting, oldest, unserved.clone());
+        return new QueueView(List.copyOf(queues.values()), unserved.clone());
     }
 
     private static void countWaiting(
-            long now, PendingRequest pending, int[] waiting, long[] oldest) {
-        int type = pending.request.requestClass();
-        waiting[type]++;
-        oldest[type] = Math.max(oldest[type], now - pending.arrivedAt);
+            long now, PendingRequest pending, Map<String, ClassQueue> queues) {
+        String name = pending.requestClass.name();
+        queues.put(
+                name,
+                queues.getOrDefault(name, new ClassQueue(name, 0, 0))
+                        .withRequest(now - pending.arrivedAt));
     }
 
     @Override
--- a/src/main/java/cypressglade/operate/SchedulerStatus.java
+++ b/src/main/java/cypressglade/operate/SchedulerStatus.java
@@ -10,13 +10,8 @@
  *
  * @param at the time of the view
  * @param nodes the known nodes
- * @param classes the names of the request classes, in the order of the counts in {@code queues}
  * @param queues the queued requests and the rejected ones by reason
  * @param drains the manual drains in force
  */
 public record SchedulerStatus(
-        Instant at,
-        List<NodeStatus> nodes,
-        List<String> classes,
-        QueueView queues,
-        List<ManualDrain> drains) {}
+        Instant at, List<NodeStatus> nodes, QueueView queues, List<ManualDrain> drains) {}
--- a/src/test/java/cypressglade/core/PolicyHarness.java
+++ b/src/test/java/cypressglade/core/PolicyHarness.java
@@ -48,6 +48,10 @@
     boolean answersProbes = true;
 
     int rank;
+
+    /** Name of a class that the settings lack. */
+    String removedClass = "";
+
     double probeCost;
 
     PolicyHarness start(int nodes) {
@@ -268,7 +272,7 @@
                 0,
                 listOnRequest,
                 2 * MS,
-                classes,
+                classes.stream().filter(type -> !type.name().equals(removedClass)).toList(),
                 plans,
                 List.of(),
                 limits,
