--- a/src/main/java/cypressglade/adapter/Adapter.java
+++ b/src/main/java/cypressglade/adapter/Adapter.java
@@ -6,7 +6,7 @@
 import cypressglade.core.Scheduler.ListKind;
 import cypressglade.core.Scheduler.NodeEntry;
 import cypressglade.core.Scheduler.Outcome;
-import cypressglade.core.Scheduler.Request;
+import cypressglade.core.Scheduler.Settings;
 import cypressglade.core.Scheduler.Status;
 import cypressglade.core.SchedulingPolicy;
 import java.io.BufferedInputStream;
@@ -28,10 +28,13 @@
     private static final int INVALID_INPUT = 1;
     private static final int BUFFER_BYTES = 1 << 16;
 
-    private final Map<Integer, Scheduler> schedulers = new HashMap<>();
+    private final Map<Integer, Instance> instances = new HashMap<>();
     private final FrameWriter writer = new FrameWriter();
     private long clockMicros;
 
+    /** One scheduler and the settings that the simulator opened it with. */
+    private record Instance(Scheduler scheduler, Settings settings) {}
+
     private Adapter() {}
 
     /**
@@ -59,23 +62,25 @@
         }
     }
 
-    private Scheduler scheduler(int instance) throws WireException {
-        Scheduler scheduler = schedulers.get(instance);
-        if (scheduler == null) {
-            throw new WireException("event for instance " + instance + ", which was never opened");
+    private Instance instance(int number) throws WireException {
+        Instance instance = instances.get(number);
+        if (instance == null) {
+            throw new WireException("event for instance " + number + ", which was never opened");
         }
-        return scheduler;
+        return instance;
+    }
+
+    private Scheduler scheduler(int instance) throws WireException {
+        return instance(instance).scheduler();
     }
 
     @Override
     public void openInstance(int instance, long seed, String settings) throws WireException {
         try {
-            schedulers.put(
-                    instance,
-                    new SchedulingPolicy(
-                            clockMicros,
-                            SettingsParser.parseLines(seed, settings),
-                            writer.actionsOf(instance)));
+            Settings parsed = SettingsParser.parseLines(seed, settings);
+            Scheduler scheduler =
+                    new SchedulingPolicy(clockMicros, parsed, writer.actionsOf(instance));
+            instances.put(instance, new Instance(scheduler, parsed));
         } catch (ConfigException invalid) {
             throw new WireException(invalid.getMessage());
         }
@@ -83,8 +88,8 @@
 
     @Override
     public void closeInstance(int instance) throws WireException {
-        scheduler(instance);
-        schedulers.remove(instance);
+        instance(instance);
+        instances.remove(instance);
     }
 
     @Override
@@ -94,8 +99,9 @@
     }
 
     @Override
-    public void handleRequest(int instance, Request request) throws WireException {
-        scheduler(instance).handleRequest(clockMicros, request);
+    public void handleRequest(int instance, RequestFrame request) throws WireException {
+        Instance opened = instance(instance);
+        opened.scheduler().handleRequest(clockMicros, request.toRequest(opened.settings()));
     }
 
     @Override
--- a/src/main/java/cypressglade/adapter/FrameReader.java
+++ b/src/main/java/cypressglade/adapter/FrameReader.java
@@ -3,7 +3,6 @@
 import cypressglade.core.Scheduler.ListKind;
 import cypressglade.core.Scheduler.NodeEntry;
 import cypressglade.core.Scheduler.Outcome;
-import cypressglade.core.Scheduler.Request;
 import cypressglade.core.Scheduler.State;
 import cypressglade.core.Scheduler.Status;
 import java.io.DataInputStream;
@@ -41,7 +40,7 @@
         void handleNodeList(int instance, ListKind kind, List<NodeEntry> entries)
                 throws WireException;
 
-        void handleRequest(int instance, Request request) throws WireException;
+        void handleRequest(int instance, RequestFrame request) throws WireException;
 
         void handleOutcome(int instance, Outcome outcome) throws WireException;
 
@@ -178,7 +177,7 @@
         float units = frame.getFloat();
         handler.handleRequest(
                 instance,
-                new Request(
+                new RequestFrame(
                         id,
                         shard,
                         requestClass,
--- a/src/main/java/cypressglade/config/NbdConfigParser.java
+++ b/src/main/java/cypressglade/config/NbdConfigParser.java
@@ -1,6 +1,7 @@
 package cypressglade.config;
 
 import cypressglade.core.Scheduler.Plan;
+import cypressglade.core.Scheduler.RequestClass;
 import cypressglade.core.Scheduler.Settings;
 import cypressglade.nbd.NbdConfig;
 import cypressglade.nbd.NbdConfig.Export;
@@ -13,6 +14,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Function;
 
 /**
  * Reads {@code deploy/nbd.json}: nothing where the file is not there or says that the front is off.
@@ -48,7 +50,6 @@
     }
 
     private NbdConfig config() throws ConfigException {
-        List<String> classes = settings.classNames();
         List<Export> exports = new ArrayList<>();
         for (int i = 0; i < values.count("exports"); i++) {
             exports.add(export("exports." + i + "."));
@@ -63,8 +64,8 @@
         }
         return new NbdConfig(
                 values.address("listen"),
-                named("read_class", classes),
-                named("write_class", classes),
+                named("read_class", settings.classes(), RequestClass::name),
+                named("write_class", settings.classes(), RequestClass::name),
                 (int) values.whole("unit_bytes", LEAST_UNIT, MOST_UNIT),
                 (int) values.whole("hosts", 1, MOST_HOSTS),
                 List.copyOf(exports),
@@ -95,16 +96,21 @@
         return new Export(
                 name,
                 Long.parseUnsignedLong(volume, 16),
-                named(at + "plan", settings.plans().stream().map(Plan::name).toList()),
+                named(at + "plan", settings.plans(), Plan::name),
                 size,
                 List.copyOf(extents));
     }
 
-    private int named(String path, List<String> names) throws ConfigException {
-        int at = names.indexOf(values.text(path));
-        if (at < 0) {
-            throw values.bad(path, "is none of " + String.join(", ", names));
+    /** The one of {@code items} whose name is the value at {@code path}. */
+    private <T> T named(String path, List<T> items, Function<T, String> nameOf)
+            throws ConfigException {
+        String name = values.text(path);
+        for (T item : items) {
+            if (nameOf.apply(item).equals(name)) {
+                return item;
+            }
         }
-        return at;
+        throw values.bad(
+                path, "is none of " + String.join(", ", items.stream().map(nameOf).toList()));
     }
 }
--- a/src/main/java/cypressglade/core/Engine.java
+++ b/src/main/java/cypressglade/core/Engine.java
@@ -345,7 +345,7 @@
                     task.id = ++lastId;
                     open.put(task.id, task);
                     Scheduler.Request submitted = request.toSchedulerRequest(task.id, processes);
-                    demand.add(submitted, hasRateLimit(submitted));
+                    demand.add(submitted, request.rules().plan().limitRate() > 0);
                     scheduler.handleRequest(now(), submitted);
                 });
     }
@@ -359,11 +359,6 @@
         }
     }
 
-    private boolean hasRateLimit(Scheduler.Request request) {
-        return request.plan() < settings.plans().size()
-                && settings.plans().get(request.plan()).limitRate() > 0;
-    }
-
     /**
      * Reports how an attempt ended.
      *
--- a/src/main/java/cypressglade/core/IoRequest.java
+++ b/src/main/java/cypressglade/core/IoRequest.java
@@ -1,14 +1,15 @@
 package cypressglade.core;
 
+import cypressglade.core.Scheduler.RequestRules;
 import java.time.Instant;
+import java.util.Optional;
 
 /**
  * A client's request as the core needs it, independent of the front that received it.
  *
  * @param shard the shard that holds the data; {@link Scheduler#ANY_SHARD} where any node can serve
  *     it
- * @param requestClass index into {@link Scheduler.Settings#classes}
- * @param plan index into {@link Scheduler.Settings#plans}
+ * @param rules what it is held to, by the settings that were in force when its head arrived
  * @param instances how many schedulers the volume's requests are spread over, at least 1
  * @param isRetry whether the client marks it as sent before
  * @param write whether it changes data
@@ -21,8 +22,7 @@
  */
 public record IoRequest(
         int shard,
-        int requestClass,
-        int plan,
+        RequestRules rules,
         int instances,
         boolean isRetry,
         boolean write,
@@ -35,8 +35,7 @@
     /** A request without an idempotency key. */
     public IoRequest(
             int shard,
-            int requestClass,
-            int plan,
+            RequestRules rules,
             int instances,
             boolean isRetry,
             boolean write,
@@ -44,7 +43,7 @@
             long key,
             float units,
             Instant expiry) {
-        this(shard, requestClass, plan, instances, isRetry, write, volume, key, units, expiry, 0);
+        this(shard, rules, instances, isRetry, write, volume, key, units, expiry, 0);
     }
 
     /** The same request with its expiry moved forward to {@code last} if it is later. */
@@ -53,8 +52,7 @@
                 ? this
                 : new IoRequest(
                         shard,
-                        requestClass,
-                        plan,
+                        rules,
                         instances,
                         isRetry,
                         write,
@@ -75,8 +73,7 @@
         return new Scheduler.Request(
                 id,
                 shard,
-                requestClass,
-                plan,
+                Optional.of(rules),
                 instances * processes,
                 isRetry,
                 write,
--- a/src/main/java/cypressglade/core/PendingRequest.java
+++ b/src/main/java/cypressglade/core/PendingRequest.java
@@ -17,12 +17,12 @@
     final long arrivedAt;
     final long expiresAt;
     final List<SentAttempt> attempts = new ArrayList<>(1); // null where one has ended
-    RequestClass requestClass;
+    RequestClass requestClass; // null where the settings had none
     TrackedVolume volume;
     TrackedNode node; // in whose queue it is
     long originalArrivedAt, targetAt, deadline, waitingSince, firstSentAt;
     double workUnits, worthPerUnit, reservedFraction;
-    int overtakenCount, inFlightAttempts;
+    int overtakenCount, inFlightAttempts, maxAttempts;
     boolean probeRequested, background, ordered, mayHaveRun, done;
 
     PendingRequest(long now, Request request) {
@@ -39,7 +39,8 @@
      * @param step difference of the expiry, in steps
      */
     long retryFingerprint(int step) {
-        long what = (request.volume() * 31 + request.key()) * 31 + request.requestClass();
+        int type = requestClass == null ? 0 : requestClass.name().hashCode();
+        long what = (request.volume() * 31 + request.key()) * 31 + type;
         return (what * 31 + Float.floatToIntBits(request.units())) * 31
                 + expiresAt / FINGERPRINT_STEP_MICROS
                 + step;
--- a/src/main/java/cypressglade/core/RequestTask.java
+++ b/src/main/java/cypressglade/core/RequestTask.java
@@ -196,6 +196,8 @@
                         Event.RETRIED,
                         "attempt "
                                 + (attempt + 1)
+                                + " of class "
+                                + request.rules().requestClass().name()
                                 + " at node "
                                 + send.node()
                                 + ", as the last ended "
--- a/src/main/java/cypressglade/core/RetryStormFilter.java
+++ b/src/main/java/cypressglade/core/RetryStormFilter.java
@@ -2,7 +2,6 @@
 
 import cypressglade.core.Counters.Name;
 import cypressglade.core.Scheduler.NodeView;
-import cypressglade.core.Scheduler.Plan;
 import cypressglade.core.Scheduler.RequestClass;
 import cypressglade.core.Scheduler.Settings;
 import cypressglade.storm.ClientRequest;
@@ -35,6 +34,9 @@
      */
     private static final double FREE_ATTEMPTS_PER_WINDOW = 5;
 
+    /** Weight of a plan that has none; weights are above 0. */
+    private static final double MIN_WEIGHT = 0.01;
+
     private static final Duration ATTEMPT_BUDGET_WINDOW = Duration.ofSeconds(1);
 
     private final Counters counters;
@@ -143,32 +145,25 @@
                 () -> admission.uncertainWrites().assumeAllUncertain(now));
     }
 
-    /**
-     * The storm detector's form of a request. Where the settings lack its class or plan, the weight
-     * of its plan and the effect of its class get defaults.
-     */
-    ClientRequest toStormRequest(IoRequest request) {
-        boolean known =
-                request.requestClass() < settings.classes().size()
-                        && request.plan() < settings.plans().size();
-        Plan plan = known ? settings.plans().get(request.plan()) : null;
-        RequestClass type = known ? settings.classes().get(request.requestClass()) : null;
+    /** The storm detector's form of a request. */
+    static ClientRequest toStormRequest(IoRequest request) {
+        RequestClass type = request.rules().requestClass();
         return new ClientRequest(
                 request.shard(),
                 request.volume(),
-                plan == null ? 1 : Math.max(plan.weight(), 0.01),
+                Math.max(request.rules().plan().weight(), MIN_WEIGHT),
                 request.key(),
-                type == null ? "" : type.name(),
+                type.name(),
                 request.units(),
                 request.isRetry(),
                 effect(type, request),
                 request.idempotencyToken(),
-                type == null ? Duration.ZERO : Micros.toDuration(type.keyTtlUs()),
+                Micros.toDuration(type.keyTtlUs()),
                 request.expiry());
     }
 
     private static ClientRequest.Effect effect(RequestClass type, IoRequest request) {
-        if (type == null || type.effect() == Scheduler.Effect.SAFE) {
+        if (type.effect() == Scheduler.Effect.SAFE) {
             return ClientRequest.Effect.NONE;
         }
         return type.effect() == Scheduler.Effect.KEYED && request.idempotencyToken() != 0
--- a/src/main/java/cypressglade/core/Scheduler.java
+++ b/src/main/java/cypressglade/core/Scheduler.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.stream.Collectors;
 
 /**
@@ -12,9 +13,7 @@
  */
 public interface Scheduler {
 
-    /**
-     * Replaces the settings. Requests refer to classes and plans by their index in the latest ones.
-     */
+    /** Replaces the settings. Requests that arrived under earlier ones keep their rules. */
     void applySettings(Settings settings);
 
     /** Handles the node list, or a change to it. */
@@ -179,8 +178,7 @@
      * A request as it arrives.
      *
      * @param shard the shard that holds its data, or {@link #ANY_SHARD}
-     * @param requestClass index into {@link Settings#classes}
-     * @param plan index into {@link Settings#plans}
+     * @param rules what it is held to; empty where its class or plan is not in the settings
      * @param instances how many instances serve requests of the volume; 1 at least
      * @param retry whether the client says that it sent the same request before
      * @param key the data that it touches; 0: none
@@ -190,8 +188,7 @@
     record Request(
             long id,
             int shard,
-            int requestClass,
-            int plan,
+            Optional<RequestRules> rules,
             int instances,
             boolean retry,
             boolean write,
@@ -414,6 +411,15 @@
         }
     }
 
+    /**
+     * What a request is held to: its class, its plan and the bound on its attempts, as the settings
+     * had them when its head arrived. It holds no index into the settings, because later ones may
+     * list the class and the plan elsewhere or not at all.
+     *
+     * @param maxAttempts attempts of the request
+     */
+    record RequestRules(RequestClass requestClass, Plan plan, int maxAttempts) {}
+
     /**
      * A class of requests.
      *
@@ -578,6 +584,21 @@
             return classes.stream().map(RequestClass::name).toList();
         }
 
+        /** Returns the rules of a request that arrives under these settings. */
+        public RequestRules rules(RequestClass requestClass, Plan plan) {
+            return new RequestRules(requestClass, plan, limits.maxAttempts());
+        }
+
+        /**
+         * Returns the rules of a request that arrives under these settings, by the indexes of its
+         * class and its plan; empty where the settings have no such class or plan.
+         */
+        public Optional<RequestRules> rules(int requestClass, int plan) {
+            return requestClass < classes.size() && plan < plans.size()
+                    ? Optional.of(rules(classes.get(requestClass), plans.get(plan)))
+                    : Optional.empty();
+        }
+
         /**
          * Returns these settings with a budget of further attempts; a budget that they already have
          * stays.
--- a/src/main/java/cypressglade/core/SchedulingPolicy.java
+++ b/src/main/java/cypressglade/core/SchedulingPolicy.java
@@ -224,17 +224,19 @@
         demandUpdatedAt = now;
         PendingRequest pending = new PendingRequest(now, request);
         openRequests.put(request.id(), pending);
-        if (request.requestClass() >= settings.classes().size()
-                || request.plan() >= settings.plans().size()) {
+        if (request.rules().isEmpty()) {
             answerUnserved(now, pending, 0, Reason.UNKNOWN);
             return;
         }
+        RequestRules rules = request.rules().get();
+        Plan plan = planInForce(rules.plan());
         pending.volume =
                 volumes.computeIfAbsent(
-                        request.volume(), id -> new TrackedVolume(this, now, pending));
+                        request.volume(), id -> new TrackedVolume(this, now, request, plan));
         pending.volume.instances = Math.max(1, request.instances());
-        pending.volume.plan = settings.plans().get(request.plan());
-        pending.requestClass = settings.classes().get(request.requestClass());
+        pending.volume.plan = plan;
+        pending.requestClass = rules.requestClass();
+        pending.maxAttempts = rules.maxAttempts();
         pending.background =
                 pending.requestClass.effect() == Effect.SAFE
                         && !pending.requestClass.write()
@@ -255,6 +257,19 @@
         scheduleTick();
     }
 
+    /**
+     * Returns the plan as the settings in force have it, by its name: the limit of a volume follows
+     * them, also where a request arrived under earlier ones. A plan that they lack stays as it was.
+     */
+    private Plan planInForce(Plan plan) {
+        return settings.plans().contains(plan)
+                ? plan
+                : settings.plans().stream()
+                        .filter(listed -> listed.name().equals(plan.name()))
+                        .findFirst()
+                        .orElse(plan);
+    }
+
     @Override
     public void handleOutcome(long now, Outcome outcome) {
         PendingRequest pending = openRequests.get(outcome.requestId());
@@ -757,7 +772,8 @@
         boolean allowed =
                 status != Status.TIMEOUT
                         && status != Status.MOOT
-                        && pending.attempts.size() < limits.maxAttempts()
+                        && pending.attempts.size()
+                                < Math.min(pending.maxAttempts, limits.maxAttempts())
                         && mayAttemptFurther(now, pending);
         TrackedNode next =
                 allowed && pending.request.shard() < 0 && !pending.mayHaveRun
--- a/src/main/java/cypressglade/core/TrackedVolume.java
+++ b/src/main/java/cypressglade/core/TrackedVolume.java
@@ -1,6 +1,7 @@
 package cypressglade.core;
 
 import cypressglade.core.Scheduler.Plan;
+import cypressglade.core.Scheduler.Request;
 
 /**
  * What this instance knows of a volume: its shares of the volume's reserve and limit, and the
@@ -23,11 +24,11 @@
     double reserveUnits, limitUnits, pendingUnits, excessRate, servedHereRate;
     private double servedEverywhereRate = -1;
 
-    TrackedVolume(SchedulingPolicy policy, long now, PendingRequest first) {
+    TrackedVolume(SchedulingPolicy policy, long now, Request first, Plan plan) {
         this.policy = policy;
-        id = first.request.volume();
-        plan = policy.settings.plans().get(first.request.plan());
-        instances = Math.max(1, first.request.instances());
+        this.plan = plan;
+        id = first.volume();
+        instances = Math.max(1, first.instances());
         refilledAt = now;
         reserveUnits = share() * plan.reserveRate();
         // The token bucket fills from the start of the instance, not from the first request. It
--- a/src/main/java/cypressglade/http/RequestParser.java
+++ b/src/main/java/cypressglade/http/RequestParser.java
@@ -56,8 +56,9 @@
     /** Largest value that is accepted in the header X-Expires-In-Ms. */
     private static final long MAX_EXPIRES_IN_MILLIS = Duration.ofHours(1).toMillis();
 
-    private final Map<String, Integer> classIndexes = new HashMap<>();
-    private final Map<String, Integer> planIndexes = new HashMap<>();
+    private final Settings settings;
+    private final Map<String, RequestClass> classes = new HashMap<>();
+    private final Map<String, Plan> plans = new HashMap<>();
     private final long maxDeadlineMillis;
 
     /**
@@ -79,9 +80,9 @@
     }
 
     RequestParser(Settings settings) {
-        for (RequestClass type : settings.classes()) {
-            classIndexes.put(type.name(), classIndexes.size());
-        }
+        this.settings = settings;
+        settings.classes().forEach(type -> classes.put(type.name(), type));
+        settings.plans().forEach(plan -> plans.put(plan.name(), plan));
         maxDeadlineMillis =
                 settings.classes().stream()
                         .map(RequestClass::deadlineUs)
@@ -89,9 +90,6 @@
                         .mapToLong(Duration::toMillis)
                         .max()
                         .orElse(MAX_EXPIRES_IN_MILLIS);
-        for (Plan plan : settings.plans()) {
-            planIndexes.put(plan.name(), planIndexes.size());
-        }
     }
 
     /**
@@ -104,13 +102,13 @@
     IoRequest parse(String method, String path, HeaderMap headers, Instant arrived)
             throws RejectedRequestException {
         Matcher pathMatcher = PATH_PATTERN.matcher(path);
-        if (!pathMatcher.matches() || !classIndexes.containsKey(pathMatcher.group(1))) {
+        if (!pathMatcher.matches() || !classes.containsKey(pathMatcher.group(1))) {
             throw new RejectedRequestException(404, "no such path");
         }
         if (!method.equals("GET") && !method.equals("PUT")) {
             throw new RejectedRequestException(405, "neither GET nor PUT");
         }
-        Integer plan = planIndexes.get(singleHeader(headers, TIER));
+        Plan plan = plans.get(singleHeader(headers, TIER));
         if (plan == null) {
             throw new RejectedRequestException(400, "Tier names no plan");
         }
@@ -128,8 +126,7 @@
                         maxDeadlineMillis, parseExpiryMillis(singleHeader(headers, EXPIRES_IN_MS)));
         return new IoRequest(
                 ioInfo.get("shard").intValue(),
-                classIndexes.get(pathMatcher.group(1)),
-                plan,
+                settings.rules(classes.get(pathMatcher.group(1)), plan),
                 ioInfo.get("hosts").intValue(),
                 "1".equals(headers.getFirst(CLIENT_RETRY)),
                 method.equals("PUT"),
--- a/src/main/java/cypressglade/nbd/NbdConfig.java
+++ b/src/main/java/cypressglade/nbd/NbdConfig.java
@@ -1,5 +1,7 @@
 package cypressglade.nbd;
 
+import cypressglade.core.Scheduler.Plan;
+import cypressglade.core.Scheduler.RequestClass;
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Map;
@@ -9,8 +11,8 @@
  * Configuration of the NBD front, as read from {@code deploy/nbd.json}.
  *
  * @param listen address on which NBD clients connect
- * @param readClass request class of reads, an index into the settings' classes
- * @param writeClass request class of writes and flushes, an index into the settings' classes
+ * @param readClass request class of reads
+ * @param writeClass request class of writes and flushes
  * @param unitBytes bytes of a read or write that count as one cost unit
  * @param instances number of schedulers over which each volume's requests are spread, at least 1
  * @param exports exports that clients can open
@@ -18,8 +20,8 @@
  */
 public record NbdConfig(
         InetSocketAddress listen,
-        int readClass,
-        int writeClass,
+        RequestClass readClass,
+        RequestClass writeClass,
         int unitBytes,
         int instances,
         List<Export> exports,
@@ -30,11 +32,11 @@
      *
      * @param name export name
      * @param volume number of the volume
-     * @param plan plan of the volume, an index into the settings' plans
+     * @param plan plan of the volume
      * @param size length in bytes
      * @param extents extents in ascending order
      */
-    public record Export(String name, long volume, int plan, long size, List<Extent> extents) {
+    public record Export(String name, long volume, Plan plan, long size, List<Extent> extents) {
         /** Returns the extent that holds an offset in bytes, which must lie inside the export. */
         Extent extentAt(long offset) {
             return extents.stream()
--- a/src/main/java/cypressglade/nbd/NbdListener.java
+++ b/src/main/java/cypressglade/nbd/NbdListener.java
@@ -30,8 +30,7 @@
     private static final Duration HANDSHAKE_TIMEOUT = Duration.ofSeconds(10);
 
     private final EventLoop loop;
-    private volatile NbdConfig config;
-    private volatile Settings settings;
+    private volatile Configuration configuration;
     private final Engine engine;
     private final NodeDirectory directory;
     private final Counters counters;
@@ -42,6 +41,16 @@
     private volatile boolean refusingHandshakes;
     private volatile boolean refusingCommands;
 
+    /**
+     * What is in force, replaced as a whole: the front's configuration names parts of the settings.
+     */
+    record Configuration(NbdConfig front, Settings settings) {
+        /** Returns the largest number of bytes that one request to the core may read or write. */
+        int maxRequestBytes() {
+            return (int) Math.max(1, settings.maxUnits()) * front.unitBytes();
+        }
+    }
+
     /**
      * Starts to accept clients on the configured address.
      *
@@ -58,8 +67,7 @@
             NbdNodeLink link)
             throws IOException {
         this.loop = loop;
-        this.config = config;
-        this.settings = settings;
+        this.configuration = new Configuration(config, settings);
         this.engine = engine;
         this.directory = directory;
         this.counters = counters;
@@ -70,8 +78,7 @@
 
     /** Sets a new configuration and its settings, which apply from the next command. */
     public void reconfigure(NbdConfig next, Settings nextSettings) {
-        config = next;
-        settings = nextSettings;
+        configuration = new Configuration(next, nextSettings);
     }
 
     /** Returns the address that the listener is bound to. */
@@ -103,7 +110,7 @@
         ServerHandshake handshake =
                 new ServerHandshake(
                         connection,
-                        config,
+                        configuration.front(),
                         this::isDraining,
                         (export, structured) ->
                                 new Transmission(this, connection, export, structured),
@@ -137,23 +144,14 @@
         return refusingCommands;
     }
 
-    NbdConfig config() {
-        return config;
-    }
-
-    Settings settings() {
-        return settings;
+    Configuration configuration() {
+        return configuration;
     }
 
     NodeLink<NodeCommand> link() {
         return link;
     }
 
-    /** Returns the largest number of bytes that one request to the core may read or write. */
-    int maxRequestBytes() {
-        return (int) Math.max(1, settings.maxUnits()) * config.unitBytes();
-    }
-
     void execute(Runnable task) {
         loop.execute(task);
     }
--- a/src/main/java/cypressglade/nbd/Transmission.java
+++ b/src/main/java/cypressglade/nbd/Transmission.java
@@ -7,8 +7,10 @@
 import cypressglade.core.NodeLink.AttemptResult;
 import cypressglade.core.RequestTask;
 import cypressglade.core.Responder;
-import cypressglade.core.Scheduler.Settings;
+import cypressglade.core.Scheduler.RequestClass;
+import cypressglade.core.Scheduler.RequestRules;
 import cypressglade.nbd.NbdConfig.Export;
+import cypressglade.nbd.NbdListener.Configuration;
 import cypressglade.net.Connection;
 import java.io.IOException;
 import java.nio.ByteBuffer;
@@ -173,8 +175,9 @@
         private final long cookie;
         private final long offset;
         private final int length;
+        private final Configuration configuration;
+        private final RequestRules rules;
         private final Instant expiry;
-        private final int requestClass;
         private byte[] data = {};
         private int pendingParts;
         private int error;
@@ -184,16 +187,15 @@
             this.cookie = cookie;
             this.offset = offset;
             this.length = length;
-            Settings settings = listener.settings();
-            requestClass =
+            configuration = listener.configuration();
+            RequestClass requestClass =
                     type == NbdProtocol.CMD_READ
-                            ? listener.config().readClass()
-                            : listener.config().writeClass();
+                            ? configuration.front().readClass()
+                            : configuration.front().writeClass();
+            rules = configuration.settings().rules(requestClass, export.plan());
             expiry =
                     MonotonicClock.now()
-                            .plus(
-                                    Micros.toDuration(
-                                            settings.classes().get(requestClass).deadlineUs()))
+                            .plus(Micros.toDuration(requestClass.deadlineUs()))
                             .minus(REPLY_MARGIN);
         }
 
@@ -243,7 +245,7 @@
                             (int)
                                     Math.min(
                                             Math.min(length - position, extent.end() - from),
-                                            listener.maxRequestBytes());
+                                            configuration.maxRequestBytes());
                     int partOffset = position;
                     NodeCommand nodeCommand =
                             type == NbdProtocol.CMD_READ
@@ -266,7 +268,9 @@
         /** Submits one part of the command to the core as a request. */
         private void startPart(int shard, int dataOffset, int size, NodeCommand nodeCommand) {
             float units =
-                    Math.max(1, (float) Math.ceil((double) size / listener.config().unitBytes()));
+                    Math.max(
+                            1,
+                            (float) Math.ceil((double) size / configuration.front().unitBytes()));
             long key =
                     size == 0
                             ? 0
@@ -275,9 +279,8 @@
             IoRequest request =
                     new IoRequest(
                             shard,
-                            requestClass,
-                            export.plan(),
-                            listener.config().instances(),
+                            rules,
+                            configuration.front().instances(),
                             false,
                             type != NbdProtocol.CMD_READ,
                             export.volume(),
--- a/src/test/java/cypressglade/core/NodeDirectoryTest.java
+++ b/src/test/java/cypressglade/core/NodeDirectoryTest.java
@@ -50,19 +50,17 @@
     @Test
     void policyRemovesANodeThatLeftTheListWhileItWasDown() throws Exception {
         AtomicInteger sends = new AtomicInteger();
-        SchedulingPolicy brain =
-                new SchedulingPolicy(
-                        1,
-                        cypressglade.config.Config.read(
-                                        java.nio.file.Path.of("deploy/config.example.json"))
-                                .settings(),
-                        new Orders(sends));
+        Scheduler.Settings settings =
+                cypressglade.config.Config.read(java.nio.file.Path.of("deploy/config.example.json"))
+                        .settings();
+        SchedulingPolicy brain = new SchedulingPolicy(1, settings, new Orders(sends));
         for (int i = 0; i < 10; i++) {
             long now = 1_000_000L * (i + 1);
             brain.updateNodes(
                     now, ListKind.FULL, List.of(new NodeEntry(i, 0, State.READY, 0, 1, 0, 0)));
             brain.handleRequest(
-                    now, new Request(i, 0, 0, 1, 1, false, false, 7, i + 1, 1, 900_000));
+                    now,
+                    new Request(i, 0, settings.rules(0, 1), 1, false, false, 7, i + 1, 1, 900_000));
             brain.handleProbe(now, i, Status.OK, 1000, new float[0]);
             brain.handleOutcome(
                     now,
--- a/src/test/java/cypressglade/core/PolicyHarness.java
+++ b/src/test/java/cypressglade/core/PolicyHarness.java
@@ -48,6 +48,8 @@
     boolean answersProbes = true;
 
     int rank;
+    int maxAttempts = 4;
+    double limitRate = 10;
 
     /** Name of a class that the settings lack. */
     String removedClass = "";
@@ -85,13 +87,11 @@
             long leftMs,
             long key,
             long volume) {
-        policy.handleRequest(
-                now,
+        submit(
                 new Request(
                         id,
                         shard,
-                        type,
-                        plan,
+                        settings().rules(type, plan),
                         instances,
                         false,
                         type == WRITE,
@@ -99,6 +99,10 @@
                         key,
                         (float) units,
                         leftMs * MS));
+    }
+
+    void submit(Request request) {
+        policy.handleRequest(now, request);
         answerProbes();
     }
 
@@ -174,7 +178,7 @@
     Settings settings() {
         Limits limits =
                 new Limits(
-                        4,
+                        maxAttempts,
                         true,
                         mayProbe,
                         false,
@@ -264,7 +268,7 @@
         List<Plan> plans =
                 List.of(
                         new Plan("p", 1000, 1000, 1, 1, 0, 0, 0),
-                        new Plan("q", 2, 0, 1, 1, 10, 32, 8));
+                        new Plan("q", 2, 0, 1, 1, limitRate, 32, 8));
         return new Settings(
                 42,
                 rank,
--- a/src/test/java/cypressglade/core/RequestTaskTest.java
+++ b/src/test/java/cypressglade/core/RequestTaskTest.java
@@ -30,6 +30,7 @@
 /** One request through the core, without a front or a network. */
 class RequestTaskTest {
     private static final byte[] DATA = {1, 2, 3};
+    private static final int SHARD_WITHOUT_NODE = 9;
 
     private final Counters counters = new Counters();
     private final LinkedBlockingQueue<String> answers = new LinkedBlockingQueue<>();
@@ -148,14 +149,21 @@
         pool.close();
     }
 
+    private static IoRequest request(int shard, Duration time) {
+        return new IoRequest(
+                shard,
+                settings(true).rules(0, 0).orElseThrow(),
+                1,
+                false,
+                true,
+                7,
+                8,
+                2,
+                MonotonicClock.now().plus(time));
+    }
+
     private RequestTask<String> task(Duration time) {
-        return new RequestTask<>(
-                engine,
-                counters,
-                new IoRequest(0, 0, 0, 1, false, true, 7, 8, 2, MonotonicClock.now().plus(time)),
-                "work",
-                responder,
-                link);
+        return new RequestTask<>(engine, counters, request(0, time), "work", responder, link);
     }
 
     private void begin() {
@@ -303,25 +311,15 @@
     /** A refusal is answered on the engine thread: no other thread is started or waited for. */
     @Test
     void refusedRequestUsesNoThread() throws Exception {
-        RequestTask<String> unknown =
+        RequestTask<String> refused =
                 new RequestTask<>(
                         engine,
                         counters,
-                        new IoRequest(
-                                0,
-                                9,
-                                0,
-                                1,
-                                false,
-                                true,
-                                7,
-                                8,
-                                2,
-                                MonotonicClock.now().plusSeconds(2)),
+                        request(SHARD_WITHOUT_NODE, Duration.ofSeconds(2)),
                         "work",
                         responder,
                         link);
-        pool.start(unknown);
+        pool.start(refused);
         assertThat(answer()).isEqualTo("refused");
         assertThat(answeredBy).isEqualTo("engine");
         begin();
--- a/src/test/java/cypressglade/nbd/NbdFrontTest.java
+++ b/src/test/java/cypressglade/nbd/NbdFrontTest.java
@@ -2,10 +2,11 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import cypressglade.cli.OperatorFiles;
+import cypressglade.config.Config;
+import cypressglade.config.NbdConfigParser;
 import cypressglade.core.Counters;
 import cypressglade.core.Counters.Name;
-import cypressglade.nbd.NbdConfig.Export;
-import cypressglade.nbd.NbdConfig.Extent;
 import cypressglade.standin.NbdPeer;
 import cypressglade.standin.Site;
 import java.io.BufferedOutputStream;
@@ -16,20 +17,23 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Arrays;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.UnaryOperator;
 import java.util.stream.IntStream;
 import org.assertj.core.api.Assertions;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -42,26 +46,46 @@
 
     private final NbdPeer first = new NbdPeer(SIZE, true);
     private final NbdPeer second = new NbdPeer(SIZE, false);
+    @TempDir Path folder;
     private final Instant started = Instant.now();
     private Site site;
 
     @BeforeEach
     void start() throws Exception {
-        List<Extent> extents = List.of(new Extent(HALF, 0), new Extent(SIZE, 1));
         site =
                 new Site(
                         List.of(first.hostPort(), second.hostPort()),
-                        Optional.of(
-                                new NbdConfig(
-                                        new InetSocketAddress("127.0.0.1", 0),
-                                        0,
-                                        1,
-                                        16384,
-                                        1,
-                                        List.of(
-                                                new Export("disk", 0xa1, 1, SIZE, extents),
-                                                new Export("small", 0xa2, 0, SIZE, extents)),
-                                        Map.of("s-0", first.address(), "s-1", second.address()))));
+                        frontConfig(UnaryOperator.identity()));
+    }
+
+    /** The front's configuration beside the example's settings after an edit. */
+    private Optional<NbdConfig> frontConfig(UnaryOperator<String> change) throws Exception {
+        String extents =
+                "\"extents\":[{\"bytes\":%1$d,\"shard\":0},{\"bytes\":%1$d,\"shard\":1}]"
+                        .formatted(HALF);
+        String export = "{\"name\":\"%s\",\"volume\":\"%016x\",\"plan\":\"%s\",\"size\":%d,%s}";
+        String node = "{\"id\":\"%s\",\"address\":\"%s\"}";
+        Path file =
+                Files.writeString(
+                        folder.resolve("nbd.json"),
+                        ("{\"enabled\":true,\"listen\":\"127.0.0.1:0\",\"read_class\":\"job-read\","
+                                        + "\"write_class\":\"job-write\",\"unit_bytes\":16384,"
+                                        + "\"hosts\":1,\"exports\":[%s,%s],\"nodes\":[%s,%s]}")
+                                .formatted(
+                                        export.formatted("disk", 0xa1, "standard", SIZE, extents),
+                                        export.formatted("small", 0xa2, "basic", SIZE, extents),
+                                        node.formatted("s-0", first.hostPort()),
+                                        node.formatted("s-1", second.hostPort())));
+        return NbdConfigParser.read(file, config(change).settings());
+    }
+
+    private Config config(UnaryOperator<String> change) throws Exception {
+        return Site.config(
+                Site.entry(0, first.hostPort(), "active", 0)
+                        + ","
+                        + Site.entry(1, second.hostPort(), "active", 0),
+                site == null ? first.hostPort() : site.discovery.hostPort(),
+                change);
     }
 
     @AfterEach
@@ -127,14 +151,19 @@
         }
 
         void request(int type, long offset, int length, byte[] data) throws IOException {
+            header(type, offset, length);
+            out.write(data);
+            out.flush();
+        }
+
+        /** Writes a request's header into the buffer of what is sent next. */
+        void header(int type, long offset, int length) throws IOException {
             out.writeInt(NbdProtocol.REQUEST_MAGIC);
             out.writeShort(0);
             out.writeShort(type);
             out.writeLong(++cookie);
             out.writeLong(offset);
             out.writeInt(length);
-            out.write(data);
-            out.flush();
         }
 
         /**
@@ -411,6 +440,55 @@
         assertThat(first.commands).hasSize(served);
     }
 
+    private void reload(UnaryOperator<String> change) throws Exception {
+        site.serve.use(
+                config(change),
+                new OperatorFiles(frontConfig(change), Optional.empty(), Optional.empty()));
+    }
+
+    /**
+     * Guards against a write being sent again because it is taken for a command of another class.
+     */
+    @Test
+    void writeWhoseDataCrossAReloadAreNotSentAgainWhenClassesMove() throws Exception {
+        first.script =
+                (peer, command, out) -> {
+                    if (command.type() == WRITE) {
+                        throw new IOException("lost");
+                    }
+                    NbdPeer.serve(peer, command, out);
+                };
+        try (Client client = new Client().go("disk", true)) {
+            client.header(NbdProtocol.CMD_READ, 0, 512);
+            client.header(WRITE, 0, 512);
+            client.out.flush();
+            client.cookie--; // the reply to the read, which came with the header of the write
+            assertThat(client.reply(new byte[512])).isZero();
+            client.cookie++;
+            reload(Site::classesInReverseOrder);
+            client.out.write(new byte[512]);
+            client.out.flush();
+            assertThat(client.reply(new byte[0])).isEqualTo(NbdProtocol.EIO);
+        }
+        assertThat(first.commands)
+                .extracting(NbdPeer.Command::type)
+                .containsExactly(NbdProtocol.CMD_READ, WRITE);
+    }
+
+    /** Guards against an export getting the limit of another plan for the clients that it has. */
+    @Test
+    void exportKeepsItsPlanWhenAReloadMovesPlans() throws Exception {
+        int served = 0;
+        try (Client client = new Client().go("small", false)) {
+            reload(Site::plansInReverseOrder);
+            for (int i = 0; i < 12; i++) {
+                served += client.command(NbdProtocol.CMD_READ, 16384L * i, 16384) == 0 ? 1 : 0;
+            }
+        }
+        assertThat((long) served)
+                .isBetween(6L, 7 + Duration.between(started, Instant.now()).toSeconds());
+    }
+
     @Test
     void flushIsSentToExactlyTheNodesThatReceivedWrites() throws Exception {
         try (Client client = new Client().go("disk", true)) {
--- a/src/test/java/cypressglade/nbd/ReplyParserTest.java
+++ b/src/test/java/cypressglade/nbd/ReplyParserTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import cypressglade.core.Scheduler.Plan;
 import cypressglade.core.Scheduler.Status;
 import java.io.IOException;
 import java.nio.ByteBuffer;
@@ -18,11 +19,13 @@
     private static final String SIMPLE = "67446698 %s 0000000000000007 ";
     private static final String CHUNK = "668e33ef %s %s 0000000000000007 ";
 
+    private static final Plan PLAN = new Plan("basic", 9, 9, 1, 1, 0, 0, 0);
+
     private final ReplyParser parser =
             new ReplyParser(
                     NodeCommand.read(
                             new NbdConfig.Export(
-                                    "disk", 1, 0, 64, List.of(new NbdConfig.Extent(64, 0))),
+                                    "disk", 1, PLAN, 64, List.of(new NbdConfig.Extent(64, 0))),
                             16,
                             4),
                     7);
