Count a volume's demand by the plan in force, as its limit is held to

A request that crossed a reload which brings a limit was held to the limit, but its units were left out of the demand by which instances share it (where a fleet shares limits); the reverse for one that ends it. Change: one look-up by name, Scheduler.Settings.planInForce, serves both. Test, red before (demand empty in place of 2 units): RequestTaskTest.demandOfARequestThatCrossesAReloadIsCountedByThePlanInForce. Tests tidied, same assertions: one loop that fails every attempt in RequestRulesTest; NodeDirectoryTest calls the policy by its name.

--- a/src/main/java/cypressglade/core/Engine.java
+++ b/src/main/java/cypressglade/core/Engine.java
@@ -5,6 +5,7 @@
 import cypressglade.core.Scheduler.Actions;
 import cypressglade.core.Scheduler.Hint;
 import cypressglade.core.Scheduler.Outcome;
+import cypressglade.core.Scheduler.Plan;
 import cypressglade.core.Scheduler.QueueView;
 import cypressglade.core.Scheduler.Settings;
 import cypressglade.core.Scheduler.Status;
@@ -345,7 +346,8 @@
                     task.id = ++lastId;
                     open.put(task.id, task);
                     Scheduler.Request submitted = request.toSchedulerRequest(task.id, processes);
-                    demand.add(submitted, request.rules().plan().limitRate() > 0);
+                    Plan plan = settings.planInForce(request.rules().plan());
+                    demand.add(submitted, plan.limitRate() > 0);
                     scheduler.handleRequest(now(), submitted);
                 });
     }
--- a/src/main/java/cypressglade/core/Scheduler.java
+++ b/src/main/java/cypressglade/core/Scheduler.java
@@ -599,6 +599,19 @@
                     : Optional.empty();
         }
 
+        /**
+         * Returns the plan of the same name in these settings, whose limit holds for a volume also
+         * where a request arrived under earlier ones; {@code plan} itself where they have none.
+         */
+        Plan planInForce(Plan plan) {
+            return plans.contains(plan)
+                    ? plan
+                    : plans.stream()
+                            .filter(listed -> listed.name().equals(plan.name()))
+                            .findFirst()
+                            .orElse(plan);
+        }
+
         /**
          * Returns these settings with a budget of further attempts; a budget that they already have
          * stays.
--- a/src/main/java/cypressglade/core/SchedulingPolicy.java
+++ b/src/main/java/cypressglade/core/SchedulingPolicy.java
@@ -229,7 +229,7 @@
             return;
         }
         RequestRules rules = request.rules().get();
-        Plan plan = planInForce(rules.plan());
+        Plan plan = settings.planInForce(rules.plan());
         pending.volume =
                 volumes.computeIfAbsent(
                         request.volume(), id -> new TrackedVolume(this, now, request, plan));
@@ -257,19 +257,6 @@
         scheduleTick();
     }
 
-    /**
-     * Returns the plan as the settings in force have it, by its name: the limit of a volume follows
-     * them, also where a request arrived under earlier ones. A plan that they lack stays as it was.
-     */
-    private Plan planInForce(Plan plan) {
-        return settings.plans().contains(plan)
-                ? plan
-                : settings.plans().stream()
-                        .filter(listed -> listed.name().equals(plan.name()))
-                        .findFirst()
-                        .orElse(plan);
-    }
-
     @Override
     public void handleOutcome(long now, Outcome outcome) {
         PendingRequest pending = openRequests.get(outcome.requestId());
--- a/src/test/java/cypressglade/core/NodeDirectoryTest.java
+++ b/src/test/java/cypressglade/core/NodeDirectoryTest.java
@@ -53,22 +53,22 @@
         Scheduler.Settings settings =
                 cypressglade.config.Config.read(java.nio.file.Path.of("deploy/config.example.json"))
                         .settings();
-        SchedulingPolicy brain = new SchedulingPolicy(1, settings, new Orders(sends));
+        SchedulingPolicy policy = new SchedulingPolicy(1, settings, new Orders(sends));
         for (int i = 0; i < 10; i++) {
             long now = 1_000_000L * (i + 1);
-            brain.updateNodes(
+            policy.updateNodes(
                     now, ListKind.FULL, List.of(new NodeEntry(i, 0, State.READY, 0, 1, 0, 0)));
-            brain.handleRequest(
+            policy.handleRequest(
                     now,
                     new Request(i, 0, settings.rules(0, 1), 1, false, false, 7, i + 1, 1, 900_000));
-            brain.handleProbe(now, i, Status.OK, 1000, new float[0]);
-            brain.handleOutcome(
+            policy.handleProbe(now, i, Status.OK, 1000, new float[0]);
+            policy.handleOutcome(
                     now,
                     new Outcome(i, 0, i, Status.CONNECT_FAILED, 1000, false, 0, 0, new float[0]));
         }
         assertThat(sends).hasPositiveValue();
-        brain.updateNodes(20_000_000, ListKind.FULL, List.of());
-        assertThat(brain.nodeViews(0)).isEmpty();
+        policy.updateNodes(20_000_000, ListKind.FULL, List.of());
+        assertThat(policy.nodeViews(0)).isEmpty();
     }
 
     /** Counts the orders to send and ignores all others. */
--- a/src/test/java/cypressglade/core/RequestRulesTest.java
+++ b/src/test/java/cypressglade/core/RequestRulesTest.java
@@ -37,6 +37,12 @@
                         1500 * PolicyHarness.MS));
     }
 
+    private void failEveryAttempt() {
+        for (int attempt = 0; attempt < instance.count("send"); attempt++) {
+            instance.endAttempt(1, attempt, 0, Status.ERROR, 5);
+        }
+    }
+
     /** Guards against more attempts than the settings allowed that a request arrived under. */
     @Test
     void requestKeepsItsBoundOnAttemptsWhenAReloadAllowsMore() {
@@ -45,9 +51,7 @@
         instance.submitRead(1, 0);
         instance.maxAttempts = 4;
         reload();
-        for (int attempt = 0; attempt < instance.count("send"); attempt++) {
-            instance.endAttempt(1, attempt, 0, Status.ERROR, 5);
-        }
+        failEveryAttempt();
         assertThat(instance.count("send")).isEqualTo(2);
         assertThat(instance.finalAnswers(1)).isEqualTo(1);
     }
@@ -59,9 +63,7 @@
         instance.submitRead(1, 0);
         instance.maxAttempts = 2;
         reload();
-        for (int attempt = 0; attempt < instance.count("send"); attempt++) {
-            instance.endAttempt(1, attempt, 0, Status.ERROR, 5);
-        }
+        failEveryAttempt();
         assertThat(instance.count("send")).isEqualTo(2);
     }
 
--- a/src/test/java/cypressglade/core/RequestTaskTest.java
+++ b/src/test/java/cypressglade/core/RequestTaskTest.java
@@ -1,6 +1,7 @@
 package cypressglade.core;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.entry;
 
 import cypressglade.core.NodeLink.Attempt;
 import cypressglade.core.NodeLink.AttemptResult;
@@ -16,6 +17,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -85,6 +87,10 @@
             };
 
     private static Settings settings(boolean probes) {
+        return settings(probes, 0);
+    }
+
+    private static Settings settings(boolean probes, double limitRate) {
         RequestClass type =
                 new RequestClass(
                         "write",
@@ -111,7 +117,7 @@
                 false,
                 2000,
                 List.of(type),
-                List.of(new Plan("p", 9, 9, 1, 1, 0, 0, 0)),
+                List.of(new Plan("p", 9, 9, 1, 1, limitRate, 20, 8)),
                 List.of(),
                 limits,
                 2,
@@ -194,6 +200,22 @@
         cypressglade.standin.Site.await(() -> pool.openCount() == 0);
     }
 
+    /** Guards against shares of a limit that leave out the demand of requests from before it. */
+    @Test
+    void demandOfARequestThatCrossesAReloadIsCountedByThePlanInForce() throws Exception {
+        takeDemand();
+        engine.applySettings(settings(true, 40));
+        begin();
+        assertThat(attempt()).as("the engine has taken the request").isNotNull();
+        assertThat(takeDemand().unitsByVolume()).containsExactly(entry(7L, 2.0));
+    }
+
+    private DemandTracker.Demand takeDemand() throws Exception {
+        CompletableFuture<DemandTracker.Demand> demand = new CompletableFuture<>();
+        engine.takeDemand(demand::complete);
+        return demand.get(5, TimeUnit.SECONDS);
+    }
+
     private String answer() throws InterruptedException {
         return answers.poll(5, TimeUnit.SECONDS);
     }
