--- a/src/test/java/cypressglade/process/ClockStepIT.java
+++ b/src/test/java/cypressglade/process/ClockStepIT.java
@@ -59,7 +59,9 @@
                         .write(
                                 Site.request("GET", READ, HEADERS, "")
                                         .getBytes(StandardCharsets.US_ASCII));
-                assertThat(Message.read(in).status()).as("request " + i).isEqualTo(200);
+                int status = Message.read(in).status();
+                String why = status == 200 ? "" : scheduler.get("/recent") + scheduler.output();
+                assertThat(status).as("request %d, %s", i, why).isEqualTo(200);
             }
         }
     }
--- a/src/test/java/cypressglade/process/RealScheduler.java
+++ b/src/test/java/cypressglade/process/RealScheduler.java
@@ -1,8 +1,10 @@
 package cypressglade.process;
 
 import cypressglade.standin.DoorCall;
+import cypressglade.standin.HttpPeer.Message;
 import cypressglade.standin.Site;
 import java.io.BufferedReader;
+import java.io.DataInputStream;
 import java.io.IOException;
 import java.io.InputStreamReader;
 import java.net.InetAddress;
@@ -144,6 +146,17 @@
         return socket;
     }
 
+    /** The body that it answers a GET with. */
+    String get(String path) throws IOException {
+        try (Socket client = connect()) {
+            client.getOutputStream()
+                    .write(
+                            ("GET " + path + " HTTP/1.1\r\nHost: localhost\r\n\r\n")
+                                    .getBytes(StandardCharsets.US_ASCII));
+            return Message.read(new DataInputStream(client.getInputStream())).body();
+        }
+    }
+
     void signal(String name) throws IOException, InterruptedException {
         new ProcessBuilder("kill", "-" + name, Long.toString(process.pid()))
                 .inheritIO()
