Read load figures by the names they came with, so that a reload takes none for another

What callers could see: a request refused as crowded, or admitted to a node with a long queue, once, where the answer to a probe was read before a reload that lists report.names otherwise and was handled after it. Cause: http.LoadReport put the figures in the order of the names of then, and SchedulingPolicy.handleProbe looked the place up in the settings in force. Change: Scheduler.LoadFigures holds values with their names; the simulator's adapter pairs those of its wire with the settings of its instance. Outcome loses its load, which nothing read. LoadReportTest and NodeClientTest assert the same values as before.

--- a/src/main/java/cypressglade/adapter/Adapter.java
+++ b/src/main/java/cypressglade/adapter/Adapter.java
@@ -4,6 +4,7 @@
 import cypressglade.config.SettingsParser;
 import cypressglade.core.Scheduler;
 import cypressglade.core.Scheduler.ListKind;
+import cypressglade.core.Scheduler.LoadFigures;
 import cypressglade.core.Scheduler.NodeEntry;
 import cypressglade.core.Scheduler.Outcome;
 import cypressglade.core.Scheduler.Settings;
@@ -129,7 +130,9 @@
     @Override
     public void handleProbe(int instance, long node, Status status, long latencyUs, float[] load)
             throws WireException {
-        scheduler(instance).handleProbe(clockMicros, node, status, latencyUs, load);
+        Instance opened = instance(instance);
+        LoadFigures figures = new LoadFigures(opened.settings().loadNames(), load);
+        opened.scheduler().handleProbe(clockMicros, node, status, latencyUs, figures);
     }
 
     @Override
--- a/src/main/java/cypressglade/adapter/FrameReader.java
+++ b/src/main/java/cypressglade/adapter/FrameReader.java
@@ -133,8 +133,7 @@
                 long id = frame.getLong();
                 int attempt = readU8();
                 long node = readNode();
-                handler.handleOutcome(
-                        instance,
+                Outcome outcome =
                         new Outcome(
                                 id,
                                 attempt,
@@ -143,8 +142,9 @@
                                 readU32(),
                                 readU8() != 0,
                                 readU16(),
-                                readU16(),
-                                readLoad()));
+                                readU16());
+                readLoad();
+                handler.handleOutcome(instance, outcome);
             }
             case 19 -> handler.handleWithdrawal(instance, frame.getLong());
             case 20 -> handler.handlePeerMessage(instance, readU32(), readBytes(readU16()));
--- a/src/main/java/cypressglade/core/Engine.java
+++ b/src/main/java/cypressglade/core/Engine.java
@@ -29,7 +29,6 @@
  * the requests. The engine itself makes no scheduling decisions.
  */
 public final class Engine implements AutoCloseable {
-    private static final float[] NO_LOAD = {};
     private static final Duration STORM_CHECK_INTERVAL = Duration.ofMillis(100);
     private static final System.Logger LOG = System.getLogger(Engine.class.getName());
 
@@ -399,8 +398,7 @@
                                     Micros.of(latency),
                                     isOver,
                                     metadata.usePercentPlusOne(),
-                                    metadata.unitsByOthers(),
-                                    metadata.load()));
+                                    metadata.unitsByOthers()));
                 });
     }
 
@@ -445,8 +443,7 @@
                                         0,
                                         true,
                                         0,
-                                        0,
-                                        NO_LOAD));
+                                        0));
                     }
                 });
     }
--- a/src/main/java/cypressglade/core/NodeLink.java
+++ b/src/main/java/cypressglade/core/NodeLink.java
@@ -84,11 +84,11 @@
      *     reported
      * @param unitsByOthers units that the shard served for the volume through other schedulers
      *     since its last response to this one
-     * @param load the values of {@link Scheduler.Settings#loadNames}, NaN for a name that was not
-     *     reported; empty where none was
+     * @param load the node's load
      */
-    record ResponseMetadata(int usePercentPlusOne, int unitsByOthers, float[] load) {
+    record ResponseMetadata(int usePercentPlusOne, int unitsByOthers, Scheduler.LoadFigures load) {
         /** Nothing was reported. */
-        public static final ResponseMetadata NOTHING = new ResponseMetadata(0, 0, new float[0]);
+        public static final ResponseMetadata NOTHING =
+                new ResponseMetadata(0, 0, Scheduler.LoadFigures.NONE);
     }
 }
--- a/src/main/java/cypressglade/core/Scheduler.java
+++ b/src/main/java/cypressglade/core/Scheduler.java
@@ -34,9 +34,9 @@
     /**
      * Handles the end of a probe.
      *
-     * @param load the values of {@link Settings#loadNames} in their order, or empty
+     * @param load what the node reported of its load
      */
-    void handleProbe(long nowUs, long node, Status status, long latencyUs, float[] load);
+    void handleProbe(long nowUs, long node, Status status, long latencyUs, LoadFigures load);
 
     /**
      * Handles other instances' observations of a node. They count only where this instance has seen
@@ -204,7 +204,6 @@
      * @param requestDone whether the request ends with it
      * @param volumeUse 1 + the volume's served units in percent of its base rate; 0: not reported
      * @param unitsByOthers units that the shard served for the volume through other instances
-     * @param load as in {@link #handleProbe}
      */
     record Outcome(
             long requestId,
@@ -214,8 +213,27 @@
             long latencyUs,
             boolean requestDone,
             int volumeUse,
-            int unitsByOthers,
-            float[] load) {}
+            int unitsByOthers) {}
+
+    /**
+     * What a node reported of its load. Like {@link RequestRules} it brings all that is needed to
+     * read it, because later settings may list other names, or the same ones in another order.
+     *
+     * @param names {@link Settings#loadNames} when the report was read
+     * @param values by {@code names}, NaN for one that was not reported; empty where none was
+     */
+    record LoadFigures(List<String> names, float[] values) {
+        /** Nothing was reported. */
+        public static final LoadFigures NONE = new LoadFigures(List.of(), new float[0]);
+
+        /** Returns the figure of a name; 0 where it was not reported. */
+        public double figure(String name) {
+            int index = names.indexOf(name);
+            return index < 0 || index >= values.length || Float.isNaN(values[index])
+                    ? 0
+                    : values[index];
+        }
+    }
 
     /**
      * What other instances observed of a node.
--- a/src/main/java/cypressglade/core/SchedulingPolicy.java
+++ b/src/main/java/cypressglade/core/SchedulingPolicy.java
@@ -96,6 +96,8 @@
     // Backlog of a node whose probe doesn't come back, in multiples of the wait for it.
     private static final double LOST_PROBE_FACTOR = 4;
     private static final double PROBE_SAMPLE_WEIGHT = 0.7; // of a probe's time in the backlog
+    // Name of the figure in a node's load report that counts the requests in its queue.
+    private static final String QUEUE_LENGTH_FIGURE = "waiting";
 
     // Failures of nodes, recognized by their symptoms.
 
@@ -127,7 +129,7 @@
     private final ArrayDeque<Long> requestTimes = new ArrayDeque<>();
     private final ArrayDeque<Long> furtherTimes = new ArrayDeque<>();
     private final LinkedHashMap<Long, PendingRequest> refusedRequests = new LinkedHashMap<>();
-    private int minInFlight, maxInFlight, queueLengthAt;
+    private int minInFlight, maxInFlight;
     private int waitingCount, inFlightCount, refusedCleanupSize;
     int answerCount;
     final long createdAt;
@@ -163,7 +165,6 @@
     public void applySettings(Settings next) {
         settings = next;
         limits = next.limits();
-        queueLengthAt = next.loadNames().indexOf("waiting");
         List<RequestClass> classes = settings.classes();
         minTarget = classes.stream().mapToLong(RequestClass::targetLatencyUs).min().orElse(1);
         minWorth = classes.stream().mapToDouble(RequestClass::worth).min().orElse(0);
@@ -305,7 +306,8 @@
     }
 
     @Override
-    public void handleProbe(long now, long address, Status status, long latencyUs, float[] load) {
+    public void handleProbe(
+            long now, long address, Status status, long latencyUs, LoadFigures load) {
         TrackedNode node = nodes.get(address);
         if (node == null) {
             return;
@@ -315,11 +317,8 @@
             node.trustedUntil = now + freshUs;
             node.down = false;
             node.lastSeenAt = now;
-            double queue =
-                    queueLengthAt >= 0 && load.length > queueLengthAt ? load[queueLengthAt] : 0;
-            double seen =
-                    Math.max(
-                            latencyUs, queue * settings.meanUnits() * node.serviceTimePerUnit(now));
+            double queuedUnits = load.figure(QUEUE_LENGTH_FIGURE) * settings.meanUnits();
+            double seen = Math.max(latencyUs, queuedUnits * node.serviceTimePerUnit(now));
             node.updateBacklog(
                     now, node.backlog(now) + PROBE_SAMPLE_WEIGHT * (seen - node.backlog(now)));
         }
--- a/src/main/java/cypressglade/http/LoadReport.java
+++ b/src/main/java/cypressglade/http/LoadReport.java
@@ -1,6 +1,7 @@
 package cypressglade.http;
 
 import cypressglade.core.NodeLink.ResponseMetadata;
+import cypressglade.core.Scheduler.LoadFigures;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
@@ -31,8 +32,8 @@
     /**
      * The report in the figures of the scheduling policy.
      *
-     * @param names the names of the load figures, without regard to case; the result's load has
-     *     their order, and is empty where one of them is missing
+     * @param names the names of the load figures, without regard to case; the result's load is
+     *     empty where one of them is missing
      */
     ResponseMetadata toResponseMetadata(List<String> names) {
         double usePercent = parseFigure(volumeLoad);
@@ -48,15 +49,15 @@
         return new ResponseMetadata(usePercentPlusOne, unitsByOthers, load(names));
     }
 
-    private float[] load(List<String> names) {
+    private LoadFigures load(List<String> names) {
         String text = metrics.trim();
         if (names.isEmpty() || !text.regionMatches(true, 0, TEXT_FORMAT, 0, TEXT_FORMAT.length())) {
-            return new float[0];
+            return LoadFigures.NONE;
         }
         List<String> lowerCaseNames =
                 names.stream().map(one -> one.toLowerCase(Locale.ROOT)).toList();
-        float[] load = new float[names.size()];
-        Arrays.fill(load, Float.NaN);
+        float[] values = new float[names.size()];
+        Arrays.fill(values, Float.NaN);
         int foundCount = 0;
         for (String pair : text.substring(TEXT_FORMAT.length()).split(",")) {
             int separator = pair.indexOf('=');
@@ -66,12 +67,12 @@
                             : pair.substring(0, separator).trim().toLowerCase(Locale.ROOT);
             int index = name.isEmpty() ? -1 : lowerCaseNames.indexOf(name);
             double value = index < 0 ? Double.NaN : parseFigure(pair.substring(separator + 1));
-            if (!Double.isNaN(value) && Float.isNaN(load[index])) {
-                load[index] = (float) value;
+            if (!Double.isNaN(value) && Float.isNaN(values[index])) {
+                values[index] = (float) value;
                 foundCount++;
             }
         }
-        return foundCount == names.size() ? load : new float[0];
+        return foundCount == names.size() ? new LoadFigures(names, values) : LoadFigures.NONE;
     }
 
     /**
--- a/src/test/java/cypressglade/core/NodeDirectoryTest.java
+++ b/src/test/java/cypressglade/core/NodeDirectoryTest.java
@@ -61,10 +61,9 @@
             policy.handleRequest(
                     now,
                     new Request(i, 0, settings.rules(0, 1), 1, false, false, 7, i + 1, 1, 900_000));
-            policy.handleProbe(now, i, Status.OK, 1000, new float[0]);
+            policy.handleProbe(now, i, Status.OK, 1000, Scheduler.LoadFigures.NONE);
             policy.handleOutcome(
-                    now,
-                    new Outcome(i, 0, i, Status.CONNECT_FAILED, 1000, false, 0, 0, new float[0]));
+                    now, new Outcome(i, 0, i, Status.CONNECT_FAILED, 1000, false, 0, 0));
         }
         assertThat(sends).hasPositiveValue();
         policy.updateNodes(20_000_000, ListKind.FULL, List.of());
--- a/src/test/java/cypressglade/core/PolicyHarness.java
+++ b/src/test/java/cypressglade/core/PolicyHarness.java
@@ -3,6 +3,7 @@
 import cypressglade.core.Scheduler.Effect;
 import cypressglade.core.Scheduler.Limits;
 import cypressglade.core.Scheduler.ListKind;
+import cypressglade.core.Scheduler.LoadFigures;
 import cypressglade.core.Scheduler.NodeEntry;
 import cypressglade.core.Scheduler.Outcome;
 import cypressglade.core.Scheduler.Plan;
@@ -54,6 +55,7 @@
     /** Name of a class that the settings lack. */
     String removedClass = "";
 
+    List<String> loadNames = List.of();
     double probeCost;
 
     PolicyHarness start(int nodes) {
@@ -108,7 +110,7 @@
 
     private void answerProbes() {
         while (!probedNodes.isEmpty()) {
-            policy.handleProbe(now, probedNodes.remove(0), Status.OK, MS, new float[0]);
+            policy.handleProbe(now, probedNodes.remove(0), Status.OK, MS, LoadFigures.NONE);
         }
     }
 
@@ -131,8 +133,7 @@
                         latencyMs * MS,
                         status == Status.OK,
                         0,
-                        0,
-                        new float[0]));
+                        0));
     }
 
     void withdraw(long id) {
@@ -140,7 +141,11 @@
     }
 
     void endProbe(int shard, Status status) {
-        policy.handleProbe(now, 100 + shard, status, MS, new float[0]);
+        endProbe(shard, status, LoadFigures.NONE);
+    }
+
+    void endProbe(int shard, Status status, LoadFigures load) {
+        policy.handleProbe(now, 100 + shard, status, MS, load);
     }
 
     /** Advances the clock and fires the timers that are due by then. */
@@ -278,7 +283,7 @@
                 2 * MS,
                 classes.stream().filter(type -> !type.name().equals(removedClass)).toList(),
                 plans,
-                List.of(),
+                loadNames,
                 limits,
                 2,
                 8,
--- a/src/test/java/cypressglade/core/RequestRulesTest.java
+++ b/src/test/java/cypressglade/core/RequestRulesTest.java
@@ -8,11 +8,15 @@
 import static org.assertj.core.api.Assertions.tuple;
 
 import cypressglade.core.Scheduler.ClassQueue;
+import cypressglade.core.Scheduler.LoadFigures;
 import cypressglade.core.Scheduler.Request;
 import cypressglade.core.Scheduler.RequestRules;
 import cypressglade.core.Scheduler.Status;
+import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** Requests keep the rules of the settings that they arrived under; volumes follow the latest. */
 class RequestRulesTest {
@@ -96,6 +100,23 @@
         assertThat(instance.count("send")).isEqualTo(1);
     }
 
+    /** Guards against another figure of a node's load being taken for the length of its queue. */
+    @ParameterizedTest
+    @CsvSource({"0, 500, send 1 0", "500, 0, refuse 1"})
+    void queueLengthIsReadByItsNameWhenAReloadMovesTheLoadFigures(
+            float waiting, float latencyMillis, String order) {
+        instance.answersProbes = false;
+        instance.loadNames = List.of("waiting", "latency_ms");
+        instance.start(1);
+        instance.submitRead(1, 0);
+        LoadFigures reported =
+                new LoadFigures(instance.loadNames, new float[] {waiting, latencyMillis});
+        instance.loadNames = List.of("latency_ms", "waiting");
+        reload();
+        instance.endProbe(0, Status.OK, reported);
+        assertThat(instance.log).containsExactly("probe 0", order);
+    }
+
     /** Guards against a waiting request being shown in the queue of another class. */
     @Test
     void waitingRequestIsShownUnderItsOwnClassAfterAReload() {
--- a/src/test/java/cypressglade/http/LoadReportTest.java
+++ b/src/test/java/cypressglade/http/LoadReportTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import cypressglade.core.NodeLink.ResponseMetadata;
+import cypressglade.core.Scheduler.LoadFigures;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -34,7 +35,7 @@
                 new LoadReport(volumeLoad, otherHosts, "").toResponseMetadata(NAMES);
         assertThat(metadata.usePercentPlusOne()).isEqualTo(usePercentPlusOne);
         assertThat(metadata.unitsByOthers()).isEqualTo(unitsByOthers);
-        assertThat(metadata.load()).isEmpty();
+        assertThat(metadata.load().values()).isEmpty();
     }
 
     @Test
@@ -42,10 +43,22 @@
         assertThat(
                         new LoadReport("", "", "TEXT latency_ms=41.5, inflight=7, queue=2")
                                 .toResponseMetadata(NAMES)
-                                .load())
+                                .load()
+                                .values())
                 .containsExactly(2f, 41.5f);
     }
 
+    @Test
+    void loadFiguresAreFoundByTheSettingsNames() {
+        LoadFigures load =
+                new LoadReport("", "", "TEXT Latency_MS=41.5, queue=2")
+                        .toResponseMetadata(NAMES)
+                        .load();
+        assertThat(load.figure("latency_ms")).isEqualTo(41.5);
+        assertThat(load.figure("queue")).isEqualTo(2);
+        assertThat(load.figure("inflight")).isZero();
+    }
+
     @ParameterizedTest
     @CsvSource(
             delimiter = '|',
@@ -58,7 +71,8 @@
             ''
             """)
     void incompleteReportGivesNoLoad(String metrics) {
-        assertThat(new LoadReport("", "", metrics).toResponseMetadata(NAMES).load()).isEmpty();
+        assertThat(new LoadReport("", "", metrics).toResponseMetadata(NAMES).load().values())
+                .isEmpty();
     }
 
     @Test
@@ -66,7 +80,8 @@
         assertThat(
                         new LoadReport("", "", "text Queue=2, LATENCY_MS=4")
                                 .toResponseMetadata(List.of("queue", "Latency_ms"))
-                                .load())
+                                .load()
+                                .values())
                 .containsExactly(2f, 4f);
     }
 
@@ -75,7 +90,8 @@
         assertThat(
                         new LoadReport("", "", "TEXT queue=2, queue=9, latency_ms=4")
                                 .toResponseMetadata(NAMES)
-                                .load())
+                                .load()
+                                .values())
                 .containsExactly(2f, 4f);
     }
 }
--- a/src/test/java/cypressglade/http/NodeClientTest.java
+++ b/src/test/java/cypressglade/http/NodeClientTest.java
@@ -84,7 +84,7 @@
                 .isEqualTo("entry");
         assertThat(result.metadata().usePercentPlusOne()).isEqualTo(241);
         assertThat(result.metadata().unitsByOthers()).isEqualTo(6);
-        assertThat(result.metadata().load()).containsExactly(3f, 52.5f);
+        assertThat(result.metadata().load().values()).containsExactly(3f, 52.5f);
     }
 
     @Test
@@ -110,7 +110,7 @@
                         });
         assertThat(result.status()).isNotEqualTo(Status.OK);
         assertThat(result.metadata().usePercentPlusOne()).isZero();
-        assertThat(result.metadata().load()).isEmpty();
+        assertThat(result.metadata().load().values()).isEmpty();
     }
 
     /** An answer without a length is complete at the end of the stream, but not after a reset. */
