Bound the JIT compiler to one thread, so that two processes fit 128 MB again

Cause: without -XX:ActiveProcessorCount=1 the JVM starts several compiler threads on a machine of eight cores, each with memory of its own. Change: -XX:CICompilerCount=1, which names the bound; the JVM still hears nothing false of its cores. The work-around stays out.

--- a/deploy/run.sh
+++ b/deploy/run.sh
@@ -3,7 +3,8 @@
 # (192 where it names none): a sixth of what is beside 48 for the heap, a sixteenth for direct buffers at the most, as the
 # limit holds for both processes of an upgrade together. The README has the arithmetic.
 # The heap is touched whole at the start, so that memory in use is level from then on. One malloc arena keeps the
-# request threads from holding one each. No JMX, which nobody asks and the I/O library would start: there is no builder
+# request threads from holding one each. One compiler thread, as the JVM would start several on a machine of many
+# cores, each with memory of its own. No JMX, which nobody asks and the I/O library would start: there is no builder
 # of the name that is given for it. Shell builtins only, and no subshells: the platform's fleet refuses fork.
 config=${ROUTER_CONFIG:-deploy/config.example.json}
 memory=
@@ -28,6 +29,6 @@
 export MALLOC_ARENA_MAX=1
 exec java -Djavax.management.builder.initial=none \
   -XX:SharedArchiveFile=target/cypressglade.jsa -Xlog:cds=off -Xlog:cds+dynamic=off \
-  -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -XX:-UsePerfData -XX:+AlwaysPreTouch \
+  -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -XX:CICompilerCount=1 -XX:-UsePerfData -XX:+AlwaysPreTouch \
   -Xms${heap}m -Xmx${heap}m -Xss256k -XX:MaxDirectMemorySize=$((memory / 16))m \
   -XX:ReservedCodeCacheSize=12m -XX:MaxMetaspaceSize=28m -jar target/cypressglade.jar serve "$@"
--- a/src/test/java/cypressglade/cli/RunScriptTest.java
+++ b/src/test/java/cypressglade/cli/RunScriptTest.java
@@ -56,7 +56,7 @@
     void sizesTheHeapByTheConfigurationWithShellBuiltinsAlone(String config, String sizes)
             throws Exception {
         assertThat(output(start(config)))
-                .contains(sizes, " -XX:+UseSerialGC -XX:TieredStopAtLevel=1 ")
+                .contains(sizes, " -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -XX:CICompilerCount=1 ")
                 .doesNotContain("not found", "ActiveProcessorCount");
     }
 
