Do not take the time for which the process itself was held up for a node's silence

Reproduced: the process is stopped (SIGSTOP) for 80 to 150 ms right after the request came. Ruled out: a slow node or stand-in (its answer to the probe delayed by 40 to 150 ms: served, 5 of 5), a load of 33 by busy loops (8 starts, served). Cause: the first request awaits a probe. After the hold-up the policy's tick is due at once, before the I/O thread has read the probe's result; SchedulingPolicy.handleTimer took the whole time since the probe for the node's and refused the request as crowded. Change: the time by which a tick is late is taken out of the wait for a probe, where it is more than a tick; once for each request, so that a process that is late all the time decides as before. Ticks on time decide as before. Tests: SchedulingPolicyTest, two new; the first fails on the sources before (probe 0, refuse 1 in place of probe 0), the second holds the bound.

--- a/src/main/java/cypressglade/core/PendingRequest.java
+++ b/src/main/java/cypressglade/core/PendingRequest.java
@@ -20,7 +20,8 @@
     RequestClass requestClass; // null where the settings had none
     TrackedVolume volume;
     TrackedNode node; // in whose queue it is
-    long originalArrivedAt, targetAt, deadline, waitingSince, firstSentAt;
+    long originalArrivedAt, targetAt, deadline, firstSentAt;
+    long waitingSince, heldUpUs; // for a probe; how long this process was held up meanwhile
     double workUnits, worthPerUnit, reservedFraction;
     int overtakenCount, inFlightAttempts, maxAttempts;
     boolean probeRequested, background, ordered, mayHaveRun, done;
@@ -33,6 +34,11 @@
         expiresAt = now + request.remainingUs();
     }
 
+    /** Returns how long this request has awaited a probe while the process ran. */
+    long awaitedProbeUs(long now) {
+        return now - waitingSince - heldUpUs;
+    }
+
     /**
      * Returns a number that a request has in common with its retries and with few others.
      *
--- a/src/main/java/cypressglade/core/SchedulingPolicy.java
+++ b/src/main/java/cypressglade/core/SchedulingPolicy.java
@@ -145,6 +145,7 @@
     private long demandUpdatedAt, excessCheckedAt, freshUs, silentProbeGapUs;
     private final long[] unserved = new long[Reason.values().length];
     private boolean tickScheduled;
+    private long tickDueAt;
 
     /**
      * Creates a policy that knows no nodes yet. {@code nowUs} is in microseconds, by the clock of
@@ -255,7 +256,7 @@
         pending.volume.lastRequestAt = now;
         pending.worthPerUnit = worthPerUnit(pending);
         admit(now, pending);
-        scheduleTick();
+        scheduleTick(now);
     }
 
     @Override
@@ -355,7 +356,7 @@
             node.down = hint.silent() && limits.mayProbe();
             double weight = Math.max(MIN_AVERAGE_WEIGHT, 1.0 / (++answerCount + PRIOR_ANSWERS));
             averageServiceTime += weight * (node.serviceTimePerUnit - averageServiceTime);
-            scheduleTick();
+            scheduleTick(now);
         }
     }
 
@@ -405,22 +406,14 @@
             if (node.isIdle()) {
                 continue;
             }
-            if (!node.awaitingProbe.isEmpty()
-                    && now - node.awaitingProbe.get(0).waitingSince >= MAX_PROBE_WAIT_MICROS) {
-                node.updateBacklog(
-                        now,
-                        Math.max(
-                                node.backlog(now),
-                                LOST_PROBE_FACTOR
-                                        * (now - node.awaitingProbe.get(0).waitingSince)));
-                admitAwaitingProbe(now, node);
-            }
+            excuseHoldUp(now, node);
+            admitWithoutProbe(now, node);
             answerExpired(now, node);
             dropLostAttempts(now, node);
             probeIfSilent(now, node);
             dispatch(now, node);
         }
-        scheduleTick();
+        scheduleTick(now);
     }
 
     /**
@@ -536,6 +529,34 @@
         return true;
     }
 
+    /**
+     * Takes the time by which this tick is late out of the wait for a probe: this process was held
+     * up, and a result that came meanwhile may be yet to be handled. A request is excused once, as
+     * a process that is late all the time must decide all the same.
+     */
+    private void excuseHoldUp(long now, TrackedNode node) {
+        if (now - tickDueAt <= TICK_MICROS) {
+            return;
+        }
+        for (PendingRequest pending : node.awaitingProbe) {
+            if (pending.heldUpUs == 0) {
+                pending.heldUpUs = now - Math.max(tickDueAt, pending.waitingSince);
+            }
+        }
+    }
+
+    /** Admits the requests whose probe takes too long, by a backlog that explains it. */
+    private void admitWithoutProbe(long now, TrackedNode node) {
+        if (node.awaitingProbe.isEmpty()) {
+            return;
+        }
+        long waited = node.awaitingProbe.get(0).awaitedProbeUs(now);
+        if (waited >= MAX_PROBE_WAIT_MICROS) {
+            node.updateBacklog(now, Math.max(node.backlog(now), LOST_PROBE_FACTOR * waited));
+            admitAwaitingProbe(now, node);
+        }
+    }
+
     private void admitAwaitingProbe(long now, TrackedNode node) {
         List<PendingRequest> waiting = new ArrayList<>(node.awaitingProbe);
         node.awaitingProbe.clear();
@@ -991,11 +1012,12 @@
         }
     }
 
-    private void scheduleTick() {
+    private void scheduleTick(long now) {
         if (!tickScheduled
                 && (waitingCount + inFlightCount > 0
                         || nodes.values().stream().anyMatch(node -> node.ready && node.down))) {
             tickScheduled = true;
+            tickDueAt = now + TICK_MICROS;
             actions.startTimer(TICK_MICROS, TICK_TOKEN);
         }
     }
--- a/src/test/java/cypressglade/core/PolicyHarness.java
+++ b/src/test/java/cypressglade/core/PolicyHarness.java
@@ -169,6 +169,14 @@
         now = until;
     }
 
+    /** Advances the clock at once, as if the process had not run: timers fire late, by its end. */
+    void holdUp(long ms) {
+        now += ms * MS;
+        List<long[]> due = timers.stream().filter(timer -> timer[0] <= now).toList();
+        timers.removeAll(due);
+        due.forEach(timer -> policy.handleTimer(now, timer[1]));
+    }
+
     long count(String prefix) {
         return log.stream().filter(line -> line.startsWith(prefix)).count();
     }
--- a/src/test/java/cypressglade/core/SchedulingPolicyTest.java
+++ b/src/test/java/cypressglade/core/SchedulingPolicyTest.java
@@ -542,6 +542,32 @@
                 "their target is 600 ms, but that of reads is 300 ms");
     }
 
+    /** Guards against a request being refused because its own process was held up, not its node. */
+    @Test
+    void requestThatAwaitsAProbeIsNotRefusedWhenTheProcessWasHeldUp() {
+        PolicyHarness instance = new PolicyHarness();
+        instance.answersProbes = false;
+        instance.start(1);
+        instance.submitRead(1, 0);
+        instance.holdUp(100);
+        instance.advance(10);
+        assertEquals(List.of("probe 0"), instance.log, "its result may be yet to be handled");
+        instance.endProbe(0, Status.OK);
+        assertEquals(List.of("probe 0", "send 1 0"), instance.log);
+    }
+
+    /** Guards against a request being left undecided in a process that is late all the time. */
+    @Test
+    void requestThatAwaitsAProbeIsDecidedThoughEachTickIsLate() {
+        PolicyHarness instance = new PolicyHarness();
+        instance.answersProbes = false;
+        instance.start(1);
+        instance.submitRead(1, 0);
+        instance.holdUp(100);
+        instance.holdUp(100);
+        assertEquals(List.of("probe 0", "refuse 1"), instance.log);
+    }
+
     @Test
     void instanceWithoutObservationsProbesTheNodeFirst() {
         PolicyHarness instance = new PolicyHarness();
