--- a/src/main/java/cypressglade/cli/BanFile.java
+++ b/src/main/java/cypressglade/cli/BanFile.java
@@ -15,10 +15,10 @@
 import java.util.Optional;
 
 /**
- * The bans of the operators' door on the disk, in the directory that the processes of an upgrade
+ * The bans of the operator port on the disk, in the directory that both processes of an upgrade
  * share. A disk that fails for a while loses none: what could not be written or read is tried again
- * by {@link #look}. What the process beside this one has decided is taken over from there. One
- * thread at a time.
+ * by {@link #check}, which also applies what the other process has written. Not safe for use by
+ * several threads.
  */
 final class BanFile {
     private static final System.Logger LOG = System.getLogger(BanFile.class.getName());
@@ -38,9 +38,7 @@
         this.drains = drains;
     }
 
-    /**
-     * Takes the bans that were kept; where the disk does not give them, {@link #look} does later.
-     */
+    /** Restores the saved bans; where the disk does not give them, {@link #check} tries again. */
     void restore() {
         List<SnapshotFile> found = store.read(Instant.now(), SnapshotStore.ANY_AGE);
         boolean unreadable =
@@ -62,23 +60,27 @@
         seen = modified();
     }
 
-    /** Keeps the bans as they are now; tells and tries again later where the disk fails. */
-    void keep() {
+    /** Saves the bans as they are now; logs it and tries again later where the disk fails. */
+    void save() {
         unwritten = true;
-        if (restored) { // else what was kept before would be written over
+        if (restored) { // or the bans saved before would be overwritten
             write();
         }
     }
 
-    /** Tries again what the disk refused, and takes over what another process has written since. */
-    void look(boolean besideAnother) {
+    /**
+     * Tries again what the disk refused, and applies what another process has written since.
+     *
+     * @param shared whether another process serves as this scheduler
+     */
+    void check(boolean shared) {
         if (!restored) {
             restore();
         }
         if (unwritten && restored) {
             write();
-        } else if (besideAnother && !modified().equals(seen)) {
-            takeOver();
+        } else if (shared && !modified().equals(seen)) {
+            applyOthersBans();
         }
     }
 
@@ -94,7 +96,7 @@
                 LOG.log(Level.INFO, "bans are kept on the disk again");
             }
         } catch (IOException full) {
-            if (!failing) { // a series is told once, and its end
+            if (!failing) { // a series of failures is logged once, and its end
                 failing = true;
                 LOG.log(
                         Level.WARNING,
@@ -104,7 +106,7 @@
         }
     }
 
-    private void takeOver() {
+    private void applyOthersBans() {
         Optional<FileTime> now = modified();
         store.read(Instant.now(), SnapshotStore.ANY_AGE).stream()
                 .filter(one -> one.file().equals(file) && one.fault() == SnapshotStore.Fault.NONE)
--- a/src/main/java/cypressglade/cli/Main.java
+++ b/src/main/java/cypressglade/cli/Main.java
@@ -64,9 +64,7 @@
         @Parameter(names = "--nbd", description = "the file of the NBD front; off without it")
         private String nbd = "deploy/nbd.json";
 
-        @Parameter(
-                names = "--peers",
-                description = "the file of the talk with other schedulers; off without")
+        @Parameter(names = "--peers", description = "the file on other schedulers; off without")
         private String peers = "deploy/peers.json";
 
         @Parameter(
@@ -95,6 +93,7 @@
         }
     }
 
+    /** Runs the command that {@code args} name; exits with 0, 1 on a failure, 2 on wrong usage. */
     public static void main(String[] args) {
         System.exit(run(args, System.in, System.out, System.err));
     }
--- a/src/main/java/cypressglade/cli/Doorway.java
+++ b/src/main/java/cypressglade/cli/OperatorPort.java
@@ -25,33 +25,34 @@
 import java.util.Optional;
 
 /**
- * What the operators' door acts on in a running scheduler: bans, kept in a directory that an
- * upgrade shares ({@code $TMPDIR}, {@code /tmp} without it), and the evacuation of clients. The
- * bans are written to the disk before the call is answered, on the door's thread.
+ * The operator port of a running scheduler and what its calls act on: bans, kept in a directory
+ * that both processes of an upgrade share ({@code $TMPDIR}, {@code /tmp} without it), and the
+ * evacuation of clients. A ban is written to the disk before its call is answered, on the port's
+ * thread.
  */
-final class Doorway implements OperatorProtocol.Actions, AutoCloseable {
-    private static final System.Logger LOG = System.getLogger(Doorway.class.getName());
-    private static final int MOST_HOLDER = 128;
+final class OperatorPort implements OperatorProtocol.Actions, AutoCloseable {
+    private static final System.Logger LOG = System.getLogger(OperatorPort.class.getName());
+    private static final int MAX_HOLDER_BYTES = 128;
 
     /**
      * How long an address that is taken, or a machine without room for a socket, is tried again at
      * the start.
      */
-    private static final Duration BIND_LIMIT = Duration.ofSeconds(5);
+    private static final Duration BIND_TIMEOUT = Duration.ofSeconds(5);
 
-    /** What the door may turn in the scheduler. */
+    /** What calls at the port act on in the scheduler. */
     interface Scheduler {
         /** Whether it takes clients. */
-        boolean started();
+        boolean takesClients();
 
         /** Sends clients away, or takes them again. */
-        void evacuate(boolean away);
+        void evacuate(boolean on);
 
         /** What it sees of the fleet (see {@link OperatorProtocol.Actions#fleet}). */
         Optional<String> fleet();
 
         /** So many processes serve as this instance now (see {@link Handover}). */
-        void beside(int processes);
+        void setProcessCount(int count);
     }
 
     private final ManualDrains drains;
@@ -59,21 +60,21 @@
     private final BanFile bans;
     private final OperatorPortServer server;
     private final Path directory;
-    private Optional<FileChannel> serving = Optional.empty();
+    private Optional<FileChannel> lockFile = Optional.empty();
     private Optional<UpgradeMark> mark = Optional.empty();
     private FileLock lock;
     private int processes = 1;
     private boolean takesClients;
-    private String failing = "";
+    private String lastFailure = "";
 
     /**
-     * Takes the bans that were kept, and binds the door; it answers from {@link #start} on. A disk
-     * that fails keeps nobody from starting: what it refuses is tried again at each look.
+     * Restores the bans and binds the port; it answers from {@link #start} on. A disk that fails
+     * does not end the start: what it refuses is tried again at each check.
      *
      * @param name the scheduler's name, which its next process has too
      * @throws IOException where the address is taken
      */
-    Doorway(
+    OperatorPort(
             InetSocketAddress address,
             String name,
             String temporary,
@@ -88,31 +89,31 @@
                         "cypressglade-" + name.replaceAll("[^A-Za-z0-9._-]", "_"));
         bans = new BanFile(directory, drains);
         bans.restore();
-        lookAtOthers();
+        countProcesses();
         server =
                 Retry.untilDone(
-                        BIND_LIMIT,
+                        BIND_TIMEOUT,
                         "operators' door",
                         IOException.class::isInstance,
                         () ->
                                 new OperatorPortServer(
                                         address,
                                         new OperatorProtocol(this),
-                                        this::look,
+                                        this::check,
                                         MonotonicClock::now));
     }
 
-    /** What is due now and then, on the door's thread. */
-    private synchronized void look() {
-        lookAtOthers();
-        bans.look(processes > 1);
+    /** Runs periodically, on the port's thread. */
+    private synchronized void check() {
+        countProcesses();
+        bans.check(processes > 1);
     }
 
     /**
-     * Whether this process serves alone: the lock once it is free, and marks of others. Where the
-     * disk does not tell, the last answer stands.
+     * Counts the processes that serve as this scheduler, by the lock and the marks of others. Where
+     * the disk does not tell, the last count stands.
      */
-    private void lookAtOthers() {
+    private void countProcesses() {
         try {
             if (lock == null) {
                 takeLockOrMark();
@@ -123,18 +124,21 @@
             if (now != processes) {
                 processes = now;
                 LOG.log(Level.INFO, "processes serving as this scheduler: {0}", now);
-                scheduler.beside(now);
+                scheduler.setProcessCount(now);
             }
-            failing = "";
+            lastFailure = "";
         } catch (IOException unusable) {
-            if (!failing.equals(unusable.toString())) { // told once, not at each look
-                failing = unusable.toString();
-                LOG.log(Level.WARNING, "whether an upgrade hands over is not known: {0}", failing);
+            if (!lastFailure.equals(unusable.toString())) { // logged once, not at each check
+                lastFailure = unusable.toString();
+                LOG.log(
+                        Level.WARNING,
+                        "whether an upgrade hands over is not known: {0}",
+                        lastFailure);
             }
         }
     }
 
-    /** The lock says who serves, a mark who comes beside; whoever gets the lock needs no mark. */
+    /** Whoever serves holds the lock; a process that an upgrade starts beside it leaves a mark. */
     private void takeLockOrMark() throws IOException {
         if (!Files.isDirectory(directory)) {
             Files.createDirectories(
@@ -142,8 +146,8 @@
                     PosixFilePermissions.asFileAttribute(
                             PosixFilePermissions.fromString("rwx------")));
         }
-        if (serving.isEmpty()) {
-            serving =
+        if (lockFile.isEmpty()) {
+            lockFile =
                     Optional.of(
                             FileChannel.open(
                                     directory.resolve("serving.lock"),
@@ -151,10 +155,10 @@
                                     StandardOpenOption.READ,
                                     StandardOpenOption.WRITE));
         }
-        lock = tryLock(serving.get());
+        lock = tryLock(lockFile.get());
         if (lock != null) {
             removeMark();
-            noteHolder(serving.get());
+            writeHolder(lockFile.get());
         } else if (mark
                 .isEmpty()) { // another process serves as this scheduler: an upgrade hands over
             mark = Optional.of(UpgradeMark.leave(directory));
@@ -176,11 +180,11 @@
     }
 
     /**
-     * The holder's number stands in the file until a stop in order: one that is found is of a
-     * process that died.
+     * Writes this process's id into the lock file, which an orderly stop empties: one that is found
+     * there is of a process that died.
      */
-    private void noteHolder(FileChannel channel) throws IOException {
-        ByteBuffer found = ByteBuffer.allocate(MOST_HOLDER);
+    private void writeHolder(FileChannel channel) throws IOException {
+        ByteBuffer found = ByteBuffer.allocate(MAX_HOLDER_BYTES);
         channel.read(found, 0);
         String before = new String(found.array(), 0, found.position(), StandardCharsets.US_ASCII);
         if (!before.isEmpty()) {
@@ -205,8 +209,8 @@
         server.start();
     }
 
-    /** This process takes clients from now on: one that it relieves may see that in its mark. */
-    synchronized void serving() {
+    /** Marks that this process takes clients from now on, for the one that it replaces. */
+    synchronized void markServing() {
         takesClients = true;
         try {
             if (mark.isPresent()) {
@@ -218,7 +222,7 @@
     }
 
     /** Whether a process beside this one takes clients on the same port; from any thread. */
-    synchronized boolean relieved() {
+    synchronized boolean isReplaced() {
         try {
             return UpgradeMark.other(directory, mark)
                     .filter(UpgradeMark.Other::serving)
@@ -238,22 +242,22 @@
 
     @Override
     public boolean takesClients() {
-        return scheduler.started();
+        return scheduler.takesClients();
     }
 
     @Override
     public Result exclude(String node) {
-        return kept(drains.exclude(node));
+        return saveIfDone(drains.exclude(node));
     }
 
     @Override
     public Result include(String node) {
-        return kept(drains.include(node));
+        return saveIfDone(drains.include(node));
     }
 
-    private synchronized Result kept(Result result) {
+    private synchronized Result saveIfDone(Result result) {
         if (result.kind() == Kind.DONE) {
-            bans.keep();
+            bans.save();
             LOG.log(Level.INFO, "bans now {0}", drains.bans());
         }
         return result;
@@ -276,15 +280,15 @@
 
     @Override
     public void close() {
-        server.close(); // and with it the thread of looks
+        server.close(); // and with it the thread of checks
         synchronized (this) {
             try {
                 removeMark();
                 if (lock != null) {
-                    serving.get().truncate(0);
+                    lockFile.get().truncate(0);
                 }
-                if (serving.isPresent()) {
-                    serving.get().close(); // and with it the lock, as the process's end would
+                if (lockFile.isPresent()) {
+                    lockFile.get().close(); // and with it the lock, as the process's end would
                 }
             } catch (IOException gone) {
                 LOG.log(Level.DEBUG, "closing the lock", gone);
--- a/src/main/java/cypressglade/cli/PeersCommand.java
+++ b/src/main/java/cypressglade/cli/PeersCommand.java
@@ -31,7 +31,7 @@
 final class PeersCommand implements Asking {
     private static final int KEY_BYTES = 32;
 
-    @Parameter(names = "--peers", description = "the file of the talk with other schedulers")
+    @Parameter(names = "--peers", description = "the file on other schedulers")
     private String file = "deploy/peers.json";
 
     @Parameter(
@@ -47,11 +47,11 @@
         return config.name()
                 + config.network()
                         .map(
-                                talk ->
+                                network ->
                                         " on "
-                                                + text(talk.listenAddress())
+                                                + text(network.listenAddress())
                                                 + " with "
-                                                + talk.seeds().size()
+                                                + network.seeds().size()
                                                 + " seeds")
                         .orElse(" alone")
                 + config.snapshots().map(kept -> ", snapshots in " + kept.directory()).orElse("");
@@ -70,9 +70,10 @@
     @Override
     public void run(PrintStream out) throws ConfigException, IOException {
         PeersConfig config = PeersConfigParser.read(Path.of(file)).orElseThrow(this::notEnabled);
-        Network talk = config.network().orElseThrow(this::alone);
+        Network network = config.network().orElseThrow(this::alone);
         PeerReport report =
-                PeerReport.fetch(at.isEmpty() ? talk.listenAddress() : address(at), talk.keys());
+                PeerReport.fetch(
+                        at.isEmpty() ? network.listenAddress() : address(at), network.keys());
         out.print(json ? json(report) : table(report));
     }
 
@@ -122,20 +123,22 @@
                 String.format(
                         "%n%-24s %-24s %9s %9s %10s %s%n",
                         "NODE", "TOLD BY", "AGE s", "SILENT s", "ms a UNIT", "ANSWERS"));
-        for (NodeObservation word : sorted(report.observations())) {
+        for (NodeObservation observation : sorted(report.observations())) {
             table.append(
                     String.format(
                             Locale.ROOT,
                             "%-24s %-24s %9.1f %9s %10.2f %d%n",
-                            word.nodeId(),
-                            word.origin().name(),
-                            seconds(word, report.requestedAt()),
-                            word.isSilent()
+                            observation.nodeId(),
+                            observation.origin().name(),
+                            seconds(observation, report.requestedAt()),
+                            observation.isSilent()
                                     ? String.format(
-                                            Locale.ROOT, "%.1f", word.silentFor().toMillis() / 1e3)
+                                            Locale.ROOT,
+                                            "%.1f",
+                                            observation.silentFor().toMillis() / 1e3)
                                     : "-",
-                            word.serviceTimePerUnitMicros() / 1e3,
-                            word.answerCount()));
+                            observation.serviceTimePerUnitMicros() / 1e3,
+                            observation.answerCount()));
         }
         table.append(String.format("%n"));
         for (Map.Entry<String, Long> figure : report.counters().entrySet()) {
@@ -157,8 +160,8 @@
         return member.state().name().toLowerCase(Locale.ROOT);
     }
 
-    private static double seconds(NodeObservation word, Instant now) {
-        return word.age(now).toMillis() / 1e3;
+    private static double seconds(NodeObservation observation, Instant now) {
+        return observation.age(now).toMillis() / 1e3;
     }
 
     private static String json(PeerReport report) throws IOException {
@@ -177,18 +180,18 @@
             }
             out.writeEndArray();
             out.writeArrayFieldStart("learned");
-            for (NodeObservation word : sorted(report.observations())) {
+            for (NodeObservation observation : sorted(report.observations())) {
                 out.writeStartObject();
-                out.writeStringField("node", word.nodeId());
-                out.writeStringField("told_by", word.origin().name());
-                out.writeNumberField("age_s", seconds(word, report.requestedAt()));
-                out.writeNumberField("silent_s", word.silentFor().toMillis() / 1e3);
-                out.writeNumberField("us_a_unit", word.serviceTimePerUnitMicros());
-                out.writeNumberField("backlog_us", word.backlogMicros());
-                out.writeNumberField("strain", word.latencyRatio());
-                out.writeNumberField("errors", word.errorRatio());
-                out.writeNumberField("answers", word.answerCount());
-                out.writeNumberField("started_us", word.startedMicros());
+                out.writeStringField("node", observation.nodeId());
+                out.writeStringField("told_by", observation.origin().name());
+                out.writeNumberField("age_s", seconds(observation, report.requestedAt()));
+                out.writeNumberField("silent_s", observation.silentFor().toMillis() / 1e3);
+                out.writeNumberField("us_a_unit", observation.serviceTimePerUnitMicros());
+                out.writeNumberField("backlog_us", observation.backlogMicros());
+                out.writeNumberField("strain", observation.latencyRatio());
+                out.writeNumberField("errors", observation.errorRatio());
+                out.writeNumberField("answers", observation.answerCount());
+                out.writeNumberField("started_us", observation.startedMicros());
                 out.writeEndObject();
             }
             out.writeEndArray();
--- a/src/main/java/cypressglade/cli/Rehearsal.java
+++ b/src/main/java/cypressglade/cli/Rehearsal.java
@@ -175,25 +175,25 @@
     }
 
     /** Bytes in, an answer out, for as long as the other side goes on. */
-    private record Answering(Connection wire) implements Connection.Listener {
+    private record Answering(Connection connection) implements Connection.Listener {
         @Override
         public void received(ByteBuffer in) {
-            wire.send(ByteBuffer.wrap(ANSWER));
+            connection.send(ByteBuffer.wrap(ANSWER));
         }
 
         @Override
         public void ended() {
-            wire.close();
+            connection.close();
         }
     }
 
     /** One client: the next request when the last is answered. */
     private final class Lane implements Connection.Listener {
-        private final Connection wire;
+        private final Connection connection;
 
-        Lane(Connection wire) {
-            this.wire = wire;
-            wire.readInto(this);
+        Lane(Connection connection) {
+            this.connection = connection;
+            connection.readInto(this);
             ask();
         }
 
@@ -217,7 +217,7 @@
                             + body.length()
                             + "\r\n\r\n"
                             + body;
-            wire.send(ByteBuffer.wrap(request.getBytes(StandardCharsets.US_ASCII)));
+            connection.send(ByteBuffer.wrap(request.getBytes(StandardCharsets.US_ASCII)));
         }
 
         @Override
@@ -232,7 +232,7 @@
 
         @Override
         public void ended() {
-            wire.close();
+            connection.close();
         }
     }
 }
--- a/src/main/java/cypressglade/cli/Serve.java
+++ b/src/main/java/cypressglade/cli/Serve.java
@@ -40,16 +40,16 @@
     private static final int STACK_BYTES = 160 * 1024;
 
     /** What comes within 0.7 s of the signal to stop is still owed an answer, on each front. */
-    private static final Duration SERVE_ON = Duration.ofMillis(800);
+    private static final Duration NBD_GRACE = Duration.ofMillis(800);
 
     /**
      * The kill comes no sooner than the longest deadline, but at most so long, and a little more.
      */
-    private static final Duration MOST_COUNTED = Duration.ofSeconds(3);
+    private static final Duration MAX_COUNTED_DEADLINE = Duration.ofSeconds(3);
 
-    private static final Duration BEFORE_THE_KILL = Duration.ofMillis(400);
-    private static final Duration LOOK = Duration.ofMillis(10);
-    private static final Duration SETTLE = Duration.ofMillis(50);
+    private static final Duration KILL_MARGIN = Duration.ofMillis(400);
+    private static final Duration POLL_INTERVAL = Duration.ofMillis(10);
+    private static final Duration SETTLE_TIME = Duration.ofMillis(50);
 
     /** For clients to end their side once we have ended ours; before the kill. */
     private static final Duration LINGER = Duration.ofMillis(200);
@@ -58,13 +58,13 @@
      * The front asks for the health ten times a second and sends no new connection 0.2 s after a
      * no.
      */
-    private static final Duration FRONT_TURNED = Duration.ofMillis(300);
+    private static final Duration HEALTH_CHECK_DELAY = Duration.ofMillis(300);
 
     /**
-     * What discovery has counts as told from a process's first moment, and its first list says so:
-     * the doors wait for it, but not for a discovery that is down.
+     * What discovery lists counts as known from a process's first moment, so clients are taken once
+     * the first list is here, or after this time where discovery is down.
      */
-    private static final Duration FIRST_LIST = Duration.ofSeconds(1);
+    private static final Duration FIRST_LIST_TIMEOUT = Duration.ofSeconds(1);
 
     private static final String MEMBER = "member ";
     private static final String EVACUATE = "evacuate";
@@ -81,26 +81,34 @@
     private final NodeClient nodes;
     private final DiscoveryWatch discovery;
     private final Optional<NbdNodeLink> nbdNodes;
-    private final Optional<NbdListener> blockClients;
+    private final Optional<NbdListener> nbdListener;
     private final Optional<Peers> peers;
     private final Optional<ControlService> control;
-    private final Optional<Doorway> door;
-    private final Optional<DoubtFile> doubts;
+    private final Optional<OperatorPort> operatorPort;
+    private final Optional<UncertainWritesFile> uncertainWrites;
     private final AtomicLong evacuations = new AtomicLong();
-    private final Object doors = new Object();
-    private boolean stopping; // guarded by doors
+    private final Object startLock = new Object();
+    private boolean stopping; // guarded by startLock
     private volatile boolean ready;
     private volatile boolean evacuated;
     private volatile int processes = 1;
 
+    /**
+     * Creates the parts; {@link #start} lets them take clients.
+     *
+     * @throws IOException where an address is taken or the I/O thread cannot be created
+     */
     public Serve(Config config, OperatorFiles files) throws IOException {
         this.config = config;
         this.files = files;
         loop = new EventLoop();
         NodeDirectory directory = new NodeDirectory();
         engine = new Engine(config.settings(), directory, counters, files.storms());
-        doubts = files.storms().flatMap(StormSettings::uncertainWriteDirectory).map(DoubtFile::new);
-        doubts.ifPresent(kept -> kept.open(engine));
+        uncertainWrites =
+                files.storms()
+                        .flatMap(StormSettings::uncertainWriteDirectory)
+                        .map(UncertainWritesFile::new);
+        uncertainWrites.ifPresent(file -> file.open(engine));
         pool = new RequestPool(config.budget().requests(), STACK_BYTES, counters);
         connections =
                 new NodePool(
@@ -119,7 +127,7 @@
                         nbdNodes.isPresent() && nbdNodes.get().isNbdNode(directory.findReady(node))
                                 ? nbdNodes.get()
                                 : nodes);
-        ManualDrains drains = new ManualDrains(engine::updateNodes, this::decided);
+        ManualDrains drains = new ManualDrains(engine::updateNodes, this::announceDecision);
         peers =
                 files.peers()
                         .map(
@@ -129,56 +137,14 @@
                                                 loop,
                                                 engine,
                                                 counters, // before who asks it
-                                                verdict -> ruled(verdict, drains)));
-        control =
-                files.control().isEmpty()
-                        ? Optional.empty()
-                        : Optional.of(
-                                new ControlService(
-                                        files.control().get(),
-                                        engine,
-                                        counters,
-                                        drains,
-                                        this::members,
-                                        () -> InForce.of(this.config, this.files)));
-        door =
-                config.operator().isEmpty()
-                        ? Optional.empty()
-                        : Optional.of(
-                                new Doorway(
-                                        config.operator().get(),
-                                        config.name(),
-                                        System.getenv("TMPDIR"),
-                                        drains,
-                                        new Doorway.Scheduler() {
-                                            @Override
-                                            public boolean started() {
-                                                return ready;
-                                            }
-
-                                            @Override
-                                            public void evacuate(boolean away) {
-                                                Serve.this.evacuate(away);
-                                                decided(
-                                                        MEMBER + memberName(),
-                                                        away ? EVACUATE : ACTIVATE);
-                                            }
-
-                                            @Override
-                                            public Optional<String> fleet() {
-                                                return peers.flatMap(Peers::fleetViewJson);
-                                            }
-
-                                            @Override
-                                            public void beside(int processes) {
-                                                Serve.this.beside(processes);
-                                            }
-                                        }));
-        boolean byHand =
+                                                verdict -> applyVerdict(verdict, drains)));
+        control = controlService(drains);
+        operatorPort = operatorPort(drains);
+        boolean takesDecisions =
                 control.isPresent()
-                        || door.isPresent()
+                        || operatorPort.isPresent()
                         || peers.filter(Peers::sharesLimits).isPresent();
-        Consumer<NodeList> lists = byHand ? drains::updateNodes : engine::updateNodes;
+        Consumer<NodeList> lists = takesDecisions ? drains::updateNodes : engine::updateNodes;
         lists.accept(config.known());
         discovery =
                 new DiscoveryWatch(
@@ -190,51 +156,108 @@
                         counters,
                         config.settings().listOnRequest());
         discovery.start();
-        clients =
-                new ClientListener(
+        clients = clientListener();
+        nbdListener = nbdListener(directory);
+    }
+
+    private Optional<ControlService> controlService(ManualDrains drains) throws IOException {
+        if (files.control().isEmpty()) {
+            return Optional.empty();
+        }
+        return Optional.of(
+                new ControlService(
+                        files.control().get(),
+                        engine,
+                        counters,
+                        drains,
+                        this::members,
+                        () -> InForce.of(this.config, this.files)));
+    }
+
+    private Optional<OperatorPort> operatorPort(ManualDrains drains) throws IOException {
+        if (config.operator().isEmpty()) {
+            return Optional.empty();
+        }
+        return Optional.of(
+                new OperatorPort(
+                        config.operator().get(),
+                        config.name(),
+                        System.getenv("TMPDIR"),
+                        drains,
+                        new OperatorCalls()));
+    }
+
+    /** What calls at the operator port act on. */
+    private final class OperatorCalls implements OperatorPort.Scheduler {
+        @Override
+        public boolean takesClients() {
+            return ready;
+        }
+
+        @Override
+        public void evacuate(boolean on) {
+            Serve.this.evacuate(on);
+            announceDecision(MEMBER + memberName(), on ? EVACUATE : ACTIVATE);
+        }
+
+        @Override
+        public Optional<String> fleet() {
+            return peers.flatMap(Peers::fleetViewJson);
+        }
+
+        @Override
+        public void setProcessCount(int count) {
+            Serve.this.setProcessCount(count);
+        }
+    }
+
+    private ClientListener clientListener() {
+        return new ClientListener(
+                loop,
+                config.settings(),
+                engine,
+                counters,
+                pool,
+                nodes,
+                () -> ready && !evacuated,
+                config.budget(),
+                files.storms().map(Serve::connectionPacer));
+    }
+
+    private static ConnectionPacer connectionPacer(StormSettings storms) {
+        return new ConnectionPacer(storms.connectionsPerSecond(), MonotonicClock.now());
+    }
+
+    private Optional<NbdListener> nbdListener(NodeDirectory directory) throws IOException {
+        if (files.nbd().isEmpty()) {
+            return Optional.empty();
+        }
+        return Optional.of(
+                new NbdListener(
                         loop,
+                        files.nbd().get(),
                         config.settings(),
                         engine,
+                        directory,
                         counters,
                         pool,
-                        nodes,
-                        () -> ready && !evacuated,
-                        config.budget(),
-                        files.storms()
-                                .map(
-                                        terms ->
-                                                new ConnectionPacer(
-                                                        terms.connectionsPerSecond(),
-                                                        MonotonicClock.now())));
-        blockClients =
-                files.nbd().isEmpty()
-                        ? Optional.empty()
-                        : Optional.of(
-                                new NbdListener(
-                                        loop,
-                                        files.nbd().get(),
-                                        config.settings(),
-                                        engine,
-                                        directory,
-                                        counters,
-                                        pool,
-                                        nbdNodes.get()));
+                        nbdNodes.get()));
     }
 
     /**
-     * So many processes serve as this scheduler: each takes its part of the limits, which are one
-     * scheduler's.
+     * Sets how many processes serve as this scheduler; each takes its part of the limits, which are
+     * one scheduler's.
      */
-    private void beside(int count) {
+    private void setProcessCount(int count) {
         processes = count;
         engine.setProcessCount(count);
         if (ready) {
-            deal(config);
+            applyBudget(config);
         }
     }
 
-    /** Hands each part its values of a configuration, by how many processes share its limits. */
-    private void deal(Config shared) {
+    /** Gives each part its values of a configuration, by how many processes share its limits. */
+    private void applyBudget(Config shared) {
         Budget budget = shared.budget().among(processes);
         clients.applySettings(shared.settings(), budget);
         pool.resize(budget.requests(), budget.threads());
@@ -243,13 +266,13 @@
                 shared.connectTimeout(), shared.idleLimit(), budget.nodeConnections());
     }
 
-    /** An operator decided something here: the fleet hears of it, where one shares verdicts. */
-    private void decided(String subject, String word) {
-        peers.ifPresent(fleet -> fleet.announceVerdict(subject, word));
+    /** Tells the other instances what an operator decided here, where they share verdicts. */
+    private void announceDecision(String subject, String action) {
+        peers.ifPresent(fleet -> fleet.announceVerdict(subject, action));
     }
 
-    /** What was decided at another member, or here in a former life. */
-    private void ruled(Verdict verdict, ManualDrains drains) {
+    /** Applies what was decided at another instance, or here by a previous process. */
+    private void applyVerdict(Verdict verdict, ManualDrains drains) {
         if (drains.applyDecision(
                 verdict.subject(), verdict.action(), verdict.issuer(), verdict.issuedAt())) {
             return;
@@ -269,38 +292,38 @@
     }
 
     /**
-     * Learns from peers and from discovery for a bounded time, and opens the doors. Whoever stops
-     * the program must be able to from here on: what is told to stop before its doors are open
-     * opens none.
+     * Learns from peers and from discovery for a bounded time, and then takes clients, unless
+     * {@link #drain} was called before. A caller must be able to stop the program from here on.
      *
-     * @return whether the doors are open
+     * @return whether this process takes clients
      */
     public boolean start() throws IOException {
         if (peers.isPresent()) {
             peers.get().start();
         }
-        door.ifPresent(Doorway::start);
+        operatorPort.ifPresent(OperatorPort::start);
         try {
-            discovery.awaitFirstList(FIRST_LIST);
+            discovery.awaitFirstList(FIRST_LIST_TIMEOUT);
         } catch (InterruptedException stopped) {
             Thread.currentThread().interrupt();
         }
-        synchronized (doors) {
+        synchronized (startLock) {
             if (!stopping) {
                 clients.start(config.listen());
-                door.ifPresent(Doorway::serving);
+                operatorPort.ifPresent(OperatorPort::markServing);
                 ready = true;
-                deal(config);
+                applyBudget(config);
             }
             return ready;
         }
     }
 
     /**
-     * Turns the health around for good; false where the doors were never open, and nothing is owed.
+     * Makes the health check fail for good; false where this process never took clients, so that
+     * nothing is owed to any.
      */
     private boolean stopOpening() {
-        synchronized (doors) {
+        synchronized (startLock) {
             boolean wasReady = ready;
             stopping = true;
             ready = false;
@@ -318,7 +341,7 @@
         evacuated = away;
         if (away) {
             loop.executeAfter(
-                    FRONT_TURNED,
+                    HEALTH_CHECK_DELAY,
                     () -> {
                         if (evacuations.get() == turn) {
                             clients.startDraining();
@@ -329,9 +352,9 @@
         }
     }
 
-    /** Where the operators' door listens, once it is bound. */
+    /** Where the operator port listens; empty where there is none. */
     public Optional<InetSocketAddress> operatorAddress() {
-        return door.map(Doorway::address);
+        return operatorPort.map(OperatorPort::address);
     }
 
     /**
@@ -340,17 +363,17 @@
      */
     public void use(Config next, OperatorFiles files) {
         engine.applySettings(next.settings());
-        deal(next);
+        applyBudget(next);
         discovery.reconfigure(next.discovery(), next.nodeLists());
-        if (files.nbd().isPresent() && blockClients.isPresent()) {
+        if (files.nbd().isPresent() && nbdListener.isPresent()) {
             nbdNodes.get().reconfigure(files.nbd().get());
-            blockClients.get().reconfigure(files.nbd().get(), next.settings());
+            nbdListener.get().reconfigure(files.nbd().get(), next.settings());
         }
         if (files.peers().isPresent() && peers.isPresent()) {
             peers.get().applyConfig(files.peers().get());
         }
         if (!next.listen().equals(config.listen())
-                || files.nbd().isPresent() != blockClients.isPresent()
+                || files.nbd().isPresent() != nbdListener.isPresent()
                 || files.peers().isPresent() != peers.isPresent()
                 || files.control().isPresent() != control.isPresent()
                 || !files.storms().equals(this.files.storms())
@@ -368,12 +391,14 @@
         return config;
     }
 
+    /** Where clients connect. */
     public InetSocketAddress address() {
         return clients.address();
     }
 
+    /** Where NBD clients connect; empty where that front is off. */
     public Optional<InetSocketAddress> nbdAddress() {
-        return blockClients.map(NbdListener::address);
+        return nbdListener.map(NbdListener::address);
     }
 
     /** Where other instances reach this one, once it has started. */
@@ -386,6 +411,7 @@
         return clients.connectionCount();
     }
 
+    /** The counters of all parts. */
     public Counters counters() {
         return counters;
     }
@@ -402,10 +428,10 @@
         if (stopOpening()) {
             answerAll(told);
         }
-        doubts.ifPresent(kept -> kept.close(engine));
+        uncertainWrites.ifPresent(file -> file.close(engine));
         peers.ifPresent(Peers::close);
         control.ifPresent(ControlService::close);
-        door.ifPresent(Doorway::close);
+        operatorPort.ifPresent(OperatorPort::close);
     }
 
     private void answerAll(Instant told) throws InterruptedException {
@@ -416,18 +442,21 @@
                         .max(Duration::compareTo)
                         .orElse(Duration.ZERO);
         Instant served =
-                told.plus(longest.compareTo(MOST_COUNTED) < 0 ? longest : MOST_COUNTED)
-                        .plus(BEFORE_THE_KILL);
-        if (door.filter(Doorway::relieved).isPresent()) {
+                told.plus(
+                                longest.compareTo(MAX_COUNTED_DEADLINE) < 0
+                                        ? longest
+                                        : MAX_COUNTED_DEADLINE)
+                        .plus(KILL_MARGIN);
+        if (operatorPort.filter(OperatorPort::isReplaced).isPresent()) {
             clients.stopAccepting();
         }
-        blockClients.ifPresent(NbdListener::refuseHandshakes);
+        nbdListener.ifPresent(NbdListener::refuseHandshakes);
         clients.setAnswerDeadline(served);
-        if (blockClients.isPresent()) {
-            Instant refused = told.plus(SERVE_ON);
+        if (nbdListener.isPresent()) {
+            Instant refused = told.plus(NBD_GRACE);
             Thread.sleep(
                     MonotonicClock.until(refused.isBefore(served) ? refused : served).toMillis());
-            blockClients.get().refuseCommands();
+            nbdListener.get().refuseCommands();
         }
         Thread.sleep(MonotonicClock.until(served).toMillis());
         LOG.log(
@@ -438,22 +467,22 @@
         clients.startShutdown();
         pool.stopAll(); // those from before the signal may have longer to go than the program has
         while (pool.openCount() > 0 && MonotonicClock.now().isBefore(served.plus(LINGER))) {
-            Thread.sleep(LOOK.toMillis());
+            Thread.sleep(POLL_INTERVAL.toMillis());
         }
         while (clients.connectionCount() > 0
                 && MonotonicClock.now().isBefore(served.plus(LINGER))) {
-            Thread.sleep(LOOK.toMillis());
+            Thread.sleep(POLL_INTERVAL.toMillis());
         }
-        Thread.sleep(SETTLE.toMillis());
+        Thread.sleep(SETTLE_TIME.toMillis());
     }
 
     @Override
     public void close() {
-        door.ifPresent(Doorway::close);
+        operatorPort.ifPresent(OperatorPort::close);
         peers.ifPresent(Peers::close);
         control.ifPresent(ControlService::close);
         clients.close();
-        blockClients.ifPresent(NbdListener::close);
+        nbdListener.ifPresent(NbdListener::close);
         pool.close();
         engine.close();
         loop.close();
--- a/src/main/java/cypressglade/cli/DoubtFile.java
+++ b/src/main/java/cypressglade/cli/UncertainWritesFile.java
@@ -16,27 +16,27 @@
 import java.util.concurrent.TimeoutException;
 
 /**
- * Writes in doubt over a restart. While the program runs the file says so; at a stop in order it
- * gets the writes that are in doubt then. Whoever finds it saying that the program runs knows
- * nothing of what it had sent, and takes all that could be in doubt for it. So nothing is written
- * to the disk for a request.
+ * Keeps uncertain writes over a restart. While the program runs the file says so; an orderly stop
+ * replaces it by the writes that are uncertain then. Where a start finds that the program was
+ * running, nothing is known of what that had sent, and every retry counts as uncertain. So no
+ * request waits for the disk.
  */
-final class DoubtFile {
-    private static final System.Logger LOG = System.getLogger(DoubtFile.class.getName());
-    private static final byte[] RUNS = {0};
+final class UncertainWritesFile {
+    private static final System.Logger LOG = System.getLogger(UncertainWritesFile.class.getName());
+    private static final byte[] RUNNING = {0};
     private static final byte STOPPED = 1;
-    private static final Duration HAND_OVER = Duration.ofMillis(500);
+    private static final Duration ENGINE_TIMEOUT = Duration.ofMillis(500);
 
     private final SnapshotStore store;
 
-    DoubtFile(Path directory) {
+    UncertainWritesFile(Path directory) {
         store = new SnapshotStore(directory, "doubts");
     }
 
-    /** Hands over what the former life left; all is in doubt where that did not stop in order. */
+    /** Restores what the previous process left; everything is uncertain where that was killed. */
     void open(Engine engine) {
         boolean first = store.read(Instant.now(), SnapshotStore.ANY_AGE).isEmpty();
-        Optional<byte[]> former =
+        Optional<byte[]> previous =
                 store.readNewest(
                                 Instant.now(),
                                 SnapshotStore.ANY_AGE,
@@ -51,24 +51,24 @@
                         .map(body -> Arrays.copyOfRange(body, 1, body.length));
         try {
             if (!first) {
-                engine.restoreUncertainWrites(former);
+                engine.restoreUncertainWrites(previous);
             }
         } catch (IllegalArgumentException foreign) {
             LOG.log(Level.WARNING, "writes in doubt cannot be read: {0}", foreign.getMessage());
             engine.restoreUncertainWrites(Optional.empty());
         }
-        write(RUNS);
+        write(RUNNING);
     }
 
-    /** Writes what is in doubt by now; waits a moment for the engine. */
+    /** Saves the writes that are uncertain by now; waits at most 500 ms for the engine. */
     void close(Engine engine) {
-        CompletableFuture<byte[]> seen = new CompletableFuture<>();
-        engine.readUncertainWrites(seen::complete);
+        CompletableFuture<byte[]> uncertainWrites = new CompletableFuture<>();
+        engine.readUncertainWrites(uncertainWrites::complete);
         try {
-            byte[] held = seen.get(HAND_OVER.toMillis(), TimeUnit.MILLISECONDS);
-            byte[] body = new byte[held.length + 1];
+            byte[] writes = uncertainWrites.get(ENGINE_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+            byte[] body = new byte[writes.length + 1];
             body[0] = STOPPED;
-            System.arraycopy(held, 0, body, 1, held.length);
+            System.arraycopy(writes, 0, body, 1, writes.length);
             write(body);
         } catch (ExecutionException | TimeoutException late) {
             LOG.log(
--- a/src/main/java/cypressglade/config/Config.java
+++ b/src/main/java/cypressglade/config/Config.java
@@ -16,7 +16,21 @@
 import java.util.Map;
 import java.util.Optional;
 
-/** What a scheduler is told at its start, out of config.json. */
+/**
+ * The configuration of a scheduler, as read from config.json.
+ *
+ * @param name the scheduler's name, which its next process has too
+ * @param listen address on which clients connect
+ * @param discovery address of the discovery service
+ * @param known the node list until discovery has told one
+ * @param settings the settings of the scheduling policy
+ * @param connectTimeout limit on opening a connection to a node
+ * @param idleLimit time after which an idle connection to a node is not used any more
+ * @param nodeLists parser of discovery's node lists, by the names of the settings
+ * @param budget limits on memory and descriptors
+ * @param operator address of the operator port; empty where there is none
+ * @param keys the keys that the file has
+ */
 public record Config(
         String name,
         InetSocketAddress listen,
@@ -32,17 +46,23 @@
     private static final String SETTINGS = "settings.";
     private static final Duration DEFAULT_CONNECT = Duration.ofMillis(250);
     private static final Duration DEFAULT_IDLE = Duration.ofSeconds(30);
-    private static final int DEFAULT_MEMORY = 192;
+    private static final int DEFAULT_MEMORY_MB = 192;
     private static final int DEFAULT_SOCKETS = 1024;
-    private static final int LEAST_MEMORY = 32;
-    private static final int LEAST_SOCKETS = 128;
-    private static final int MOST = 1 << 20;
+    private static final int MIN_MEMORY_MB = 32;
+    private static final int MIN_SOCKETS = 128;
+    private static final int MAX_LIMIT = 1 << 20;
 
+    /**
+     * Reads a file.
+     *
+     * @throws UnreadableException where the file cannot be read now but may be later
+     * @throws ConfigException where it is missing or a value in it is wrong
+     */
     public static Config read(Path path) throws ConfigException {
         return parse(path.toString(), bytes(path));
     }
 
-    /** The same, listening elsewhere. */
+    /** Returns this configuration with another address for clients. */
     public Config on(InetSocketAddress other) {
         return new Config(
                 name,
@@ -59,8 +79,8 @@
     }
 
     /**
-     * The same, with the operators' door where {@code $ROUTER_OPERATOR} names it; the file's {@code
-     * operator} where the variable is unset or empty.
+     * Returns this configuration with the address of the operator port that {@code
+     * $ROUTER_OPERATOR} gives; the file's {@code operator} holds where that is unset or empty.
      *
      * @throws ConfigException where the variable is not ADDRESS:PORT
      */
@@ -84,7 +104,7 @@
     }
 
     /**
-     * Whether this may take the place of what is in force.
+     * Checks that this may replace the configuration in force.
      *
      * @throws ConfigException where it lacks a key that the other has
      */
@@ -150,8 +170,8 @@
                 span(values, "settings.limits.connIdleUs", DEFAULT_IDLE),
                 lists,
                 new Budget(
-                        limit(values, "limits.memory_mb", LEAST_MEMORY, DEFAULT_MEMORY),
-                        limit(values, "limits.sockets", LEAST_SOCKETS, DEFAULT_SOCKETS)),
+                        limit(values, "limits.memory_mb", MIN_MEMORY_MB, DEFAULT_MEMORY_MB),
+                        limit(values, "limits.sockets", MIN_SOCKETS, DEFAULT_SOCKETS)),
                 values.text("operator", "").isEmpty()
                         ? Optional.empty()
                         : Optional.of(values.address("operator")),
@@ -183,7 +203,9 @@
 
     private static int limit(Values values, String path, int least, int otherwise)
             throws ConfigException {
-        return values.text(path, "").isEmpty() ? otherwise : (int) values.whole(path, least, MOST);
+        return values.text(path, "").isEmpty()
+                ? otherwise
+                : (int) values.whole(path, least, MAX_LIMIT);
     }
 
     private static Duration span(Values values, String path, Duration otherwise)
--- a/src/main/java/cypressglade/config/NbdConfigParser.java
+++ b/src/main/java/cypressglade/config/NbdConfigParser.java
@@ -20,11 +20,11 @@
  * Reads {@code deploy/nbd.json}: nothing where the file is not there or says that the front is off.
  */
 public final class NbdConfigParser {
-    private static final int LEAST_UNIT = 512;
-    private static final int MOST_UNIT = 1 << 20;
-    private static final int MOST_NAME = 256;
-    private static final int MOST_HOSTS = 1 << 10;
-    private static final long MOST_SIZE = 1L << 60;
+    private static final int MIN_UNIT = 512;
+    private static final int MAX_UNIT = 1 << 20;
+    private static final int MAX_NAME = 256;
+    private static final int MAX_HOSTS = 1 << 10;
+    private static final long MAX_SIZE = 1L << 60;
 
     private final Values values;
     private final Settings settings;
@@ -34,6 +34,11 @@
         this.settings = settings;
     }
 
+    /**
+     * Reads the file.
+     *
+     * @param settings the settings whose classes and plans it names
+     */
     public static Optional<NbdConfig> read(Path path, Settings settings) throws ConfigException {
         Optional<Values> values = Values.ifEnabled(path);
         return values.isEmpty() ? Optional.empty() : Optional.of(parse(values.get(), settings));
@@ -66,14 +71,14 @@
                 values.address("listen"),
                 named("read_class", settings.classes(), RequestClass::name),
                 named("write_class", settings.classes(), RequestClass::name),
-                (int) values.whole("unit_bytes", LEAST_UNIT, MOST_UNIT),
-                (int) values.whole("hosts", 1, MOST_HOSTS),
+                (int) values.whole("unit_bytes", MIN_UNIT, MAX_UNIT),
+                (int) values.whole("hosts", 1, MAX_HOSTS),
                 List.copyOf(exports),
                 nodes);
     }
 
     private Export export(String at) throws ConfigException {
-        long size = values.whole(at + "size", 1, MOST_SIZE);
+        long size = values.whole(at + "size", 1, MAX_SIZE);
         List<Extent> extents = new ArrayList<>();
         long end = 0;
         for (int i = 0; i < values.count(at + "extents"); i++) {
@@ -86,7 +91,7 @@
             throw values.bad(at + "extents", "must add up to the size");
         }
         String name = values.text(at + "name");
-        if (name.getBytes(StandardCharsets.UTF_8).length > MOST_NAME) {
+        if (name.getBytes(StandardCharsets.UTF_8).length > MAX_NAME) {
             throw values.bad(at + "name", "is too long");
         }
         String volume = values.text(at + "volume");
--- a/src/main/java/cypressglade/config/NodeListParser.java
+++ b/src/main/java/cypressglade/config/NodeListParser.java
@@ -10,18 +10,25 @@
 
 /** Reads discovery's form of the node list, whole or a change. */
 public final class NodeListParser {
-    private static final long MOST_VERSION = Long.MAX_VALUE;
-    private static final long MOST_START = 1L << 50;
-    private static final int MOST_CELLS = 1 << 24;
+    private static final long MAX_VERSION = Long.MAX_VALUE;
+    private static final long MAX_START = 1L << 50;
+    private static final int MAX_CELLS = 1 << 24;
 
     private final List<String> zones;
     private final List<String> kinds;
 
+    /** Creates a parser for lists whose nodes have these zones and kinds. */
     public NodeListParser(List<String> zones, List<String> kinds) {
         this.zones = zones;
         this.kinds = kinds;
     }
 
+    /**
+     * Parses a list.
+     *
+     * @param from index of its first byte in {@code text}
+     * @throws ConfigException where it is no valid list
+     */
     public NodeList parse(byte[] text, int from, int length) throws ConfigException {
         String what = "node list";
         return parse(new Values(what, JsonValues.read(what, text, from, length)), "");
@@ -46,16 +53,16 @@
                             Math.max(0, kinds.indexOf(values.text(entry + "kind", ""))),
                             state == State.GONE && values.text(entry + "cell", "").isEmpty()
                                     ? 0
-                                    : (int) values.whole(entry + "cell", 0, MOST_CELLS),
+                                    : (int) values.whole(entry + "cell", 0, MAX_CELLS),
                             state,
                             values.number(entry + "weight", 1),
                             Instant.ofEpochMilli(
                                     values.text(entry + "started_ms", "").isEmpty()
                                             ? 0
-                                            : values.whole(entry + "started_ms", 0, MOST_START))));
+                                            : values.whole(entry + "started_ms", 0, MAX_START))));
         }
         return new NodeList(
-                values.whole(at + "version", 0, MOST_VERSION),
+                values.whole(at + "version", 0, MAX_VERSION),
                 values.text(at + "full").equals("true"),
                 entries);
     }
--- a/src/main/java/cypressglade/config/PeersConfigParser.java
+++ b/src/main/java/cypressglade/config/PeersConfigParser.java
@@ -22,21 +22,21 @@
  * Paths in it are taken from the file's own directory.
  */
 public final class PeersConfigParser {
-    private static final int MOST_SEEDS = 16;
-    private static final int MOST_NODES = 4096;
-    private static final int MOST_NAME = 64;
-    private static final String NAME = "[A-Za-z0-9._-]{1," + MOST_NAME + "}";
+    private static final int MAX_SEEDS = 16;
+    private static final int MAX_NODES = 4096;
+    private static final int MAX_NAME = 64;
+    private static final String NAME = "[A-Za-z0-9._-]{1," + MAX_NAME + "}";
     private static final float FLOOR = 0.25f;
     private static final long LAG = 2;
-    private static final long MOST_LAG = 10;
+    private static final long MAX_LAG = 10;
     private static final long WINDOW_MS = 1000;
-    private static final long MOST_WAIT_MS = 2000;
+    private static final long MAX_WAIT_MS = 2000;
 
     /** Below, a scheduler that waits for its share of a core would be taken for silent. */
-    private static final long LEAST_PERIOD_MS = 100;
+    private static final long MIN_PERIOD_MS = 100;
 
-    private static final long MOST_PERIOD_MS = 60_000;
-    private static final long MOST_SPAN_S = 86_400;
+    private static final long MAX_PERIOD_MS = 60_000;
+    private static final long MAX_SPAN_S = 86_400;
 
     private final Values values;
     private final Path directory;
@@ -61,26 +61,26 @@
         if (!name.matches(NAME)) {
             throw values.bad(
                     "name",
-                    "is not 1 to " + MOST_NAME + " letters, digits, dots, dashes or underscores");
+                    "is not 1 to " + MAX_NAME + " letters, digits, dots, dashes or underscores");
         }
-        Optional<Network> talk =
-                values.text("listen", "").isEmpty() ? Optional.empty() : Optional.of(talk());
+        Optional<Network> network =
+                values.text("listen", "").isEmpty() ? Optional.empty() : Optional.of(network());
         Optional<Snapshots> snapshots =
                 values.text("snapshot_dir", "").isEmpty()
                         ? Optional.empty()
                         : Optional.of(snapshots());
-        if (talk.isEmpty() && snapshots.isEmpty()) {
+        if (network.isEmpty() && snapshots.isEmpty()) {
             throw values.bad("enabled", "is true, but there is neither listen nor snapshot_dir");
         }
         return new PeersConfig(
                 name,
-                talk,
+                network,
                 snapshots,
-                (int) values.whole("most_nodes", 1, MOST_NODES, 1024),
-                Duration.ofMillis(values.whole("start_wait_ms", 0, MOST_WAIT_MS, 200)));
+                (int) values.whole("most_nodes", 1, MAX_NODES, 1024),
+                Duration.ofMillis(values.whole("start_wait_ms", 0, MAX_WAIT_MS, 200)));
     }
 
-    private Network talk() throws ConfigException {
+    private Network network() throws ConfigException {
         InetSocketAddress listen = values.address("listen");
         Optional<InetSocketAddress> advertised =
                 values.text("advertise", "").isEmpty()
@@ -97,8 +97,8 @@
                 seeds.add(values.address("seeds", seed));
             }
         }
-        if (seeds.size() > MOST_SEEDS) {
-            throw values.bad("seeds", "are more than " + MOST_SEEDS);
+        if (seeds.size() > MAX_SEEDS) {
+            throw values.bad("seeds", "are more than " + MAX_SEEDS);
         }
         Path keyFile = directory.resolve(values.text("key_file"));
         try {
@@ -107,20 +107,19 @@
                     advertised,
                     List.copyOf(seeds),
                     KeyRing.read(keyFile),
-                    Duration.ofSeconds(values.whole("refresh_s", 1, MOST_SPAN_S, 5)),
+                    Duration.ofSeconds(values.whole("refresh_s", 1, MAX_SPAN_S, 5)),
                     values.flag("share_cold", "true"),
                     SwimSettings.withPeriod(
                             Duration.ofMillis(
-                                    values.whole(
-                                            "period_ms", LEAST_PERIOD_MS, MOST_PERIOD_MS, 1000))),
+                                    values.whole("period_ms", MIN_PERIOD_MS, MAX_PERIOD_MS, 1000))),
                     values.flag("view", "false"),
-                    terms());
+                    sharing());
         } catch (IOException unusable) {
             throw values.bad("key_file", "cannot be used: " + unusable.getMessage());
         }
     }
 
-    private Optional<SharingSettings> terms() throws ConfigException {
+    private Optional<SharingSettings> sharing() throws ConfigException {
         if (values.text("roster", "").isEmpty()) {
             return Optional.empty();
         }
@@ -143,10 +142,10 @@
                 new SharingSettings(
                         roster,
                         floor,
-                        (int) values.whole("lag", 1, MOST_LAG, LAG),
+                        (int) values.whole("lag", 1, MAX_LAG, LAG),
                         Duration.ofMillis(
                                 values.whole(
-                                        "window_ms", LEAST_PERIOD_MS, MOST_PERIOD_MS, WINDOW_MS))));
+                                        "window_ms", MIN_PERIOD_MS, MAX_PERIOD_MS, WINDOW_MS))));
     }
 
     private Snapshots snapshots() throws ConfigException {
@@ -160,7 +159,7 @@
         }
         return new Snapshots(
                 kept,
-                Duration.ofSeconds(values.whole("snapshot_every_s", 1, MOST_SPAN_S, 10)),
-                Duration.ofSeconds(values.whole("snapshot_most_age_s", 1, MOST_SPAN_S, 120)));
+                Duration.ofSeconds(values.whole("snapshot_every_s", 1, MAX_SPAN_S, 10)),
+                Duration.ofSeconds(values.whole("snapshot_most_age_s", 1, MAX_SPAN_S, 120)));
     }
 }
--- a/src/main/java/cypressglade/config/StormsConfigParser.java
+++ b/src/main/java/cypressglade/config/StormsConfigParser.java
@@ -11,10 +11,10 @@
  * path in it is taken from the file's own directory.
  */
 public final class StormsConfigParser {
-    private static final long MOST_SLOT_MS = 1000;
-    private static final long MOST_BACK_MS = 600_000;
-    private static final long MOST_CONNECTS = 100_000;
-    private static final long MOST_DOUBT_S = 3600;
+    private static final long MAX_SLOT_MS = 1000;
+    private static final long MAX_BACK_MS = 600_000;
+    private static final long MAX_CONNECTS = 100_000;
+    private static final long MAX_DOUBT_S = 3600;
 
     private StormsConfigParser() {}
 
@@ -44,23 +44,23 @@
                 new StormSettings(
                         Duration.ofMillis(
                                 values.whole(
-                                        "slot_ms", 1, MOST_SLOT_MS, usual.slotLength().toMillis())),
+                                        "slot_ms", 1, MAX_SLOT_MS, usual.slotLength().toMillis())),
                         part(values, "room", usual.promisedSpeedFraction(), false),
                         part(values, "second_tries", usual.retryRatio(), true),
                         Duration.ofMillis(
                                 values.whole(
                                         "back_ms",
                                         0,
-                                        MOST_BACK_MS,
+                                        MAX_BACK_MS,
                                         usual.recoveryTime().toMillis())),
                         (int)
                                 values.whole(
-                                        "connects", 1, MOST_CONNECTS, usual.connectionsPerSecond()),
+                                        "connects", 1, MAX_CONNECTS, usual.connectionsPerSecond()),
                         Duration.ofSeconds(
                                 values.whole(
                                         "doubt_s",
                                         0,
-                                        MOST_DOUBT_S,
+                                        MAX_DOUBT_S,
                                         usual.uncertainWriteTtl().toSeconds())),
                         kept));
     }
--- a/src/test/java/cypressglade/cli/DoorwayTest.java
+++ b/src/test/java/cypressglade/cli/OperatorPortTest.java
@@ -23,10 +23,10 @@
 import org.junit.jupiter.api.io.TempDir;
 
 /**
- * The operators' door on a real socket: one line a call, bans kept for the next process, slow
- * callers aside.
+ * The operator port on a real socket: one line a call, bans kept for the next process, slow callers
+ * aside.
  */
-class DoorwayTest {
+class OperatorPortTest {
     private static final InetSocketAddress ANY = new InetSocketAddress("127.0.0.1", 0);
     private static final Entry NODE =
             new Entry("s-804c1214", ANY, 0, 0, 0, State.READY, 1, Instant.EPOCH);
@@ -34,27 +34,27 @@
     @TempDir Path temporary;
     private final List<Boolean> evacuations = new ArrayList<>();
 
-    /** Written on the door's thread, read by the test's. */
-    private final List<Integer> besides = new CopyOnWriteArrayList<>();
+    /** Written on the port's thread, read by the test's. */
+    private final List<Integer> processCounts = new CopyOnWriteArrayList<>();
 
-    private Doorway door(ManualDrains drains) throws IOException {
-        return door(drains, besides);
+    private OperatorPort start(ManualDrains drains) throws IOException {
+        return start(drains, processCounts);
     }
 
     /**
-     * A door whose scheduler only notes what it is told; {@code processes} gets each count of
+     * A port whose scheduler only notes what it is told; {@code processes} gets each count of
      * processes.
      */
-    private Doorway door(ManualDrains drains, List<Integer> processes) throws IOException {
-        Doorway door =
-                new Doorway(
+    private OperatorPort start(ManualDrains drains, List<Integer> processes) throws IOException {
+        OperatorPort port =
+                new OperatorPort(
                         ANY,
                         "n0",
                         temporary.toString(),
                         drains,
-                        new Doorway.Scheduler() {
+                        new OperatorPort.Scheduler() {
                             @Override
-                            public boolean started() {
+                            public boolean takesClients() {
                                 return true;
                             }
 
@@ -69,16 +69,16 @@
                             }
 
                             @Override
-                            public void beside(int count) {
+                            public void setProcessCount(int count) {
                                 processes.add(count);
                             }
                         });
-        door.start();
-        return door;
+        port.start();
+        return port;
     }
 
-    private static String call(Doorway door, String line) throws IOException {
-        return DoorCall.call(door.address(), line);
+    private static String call(OperatorPort port, String line) throws IOException {
+        return DoorCall.call(port.address(), line);
     }
 
     @Test
@@ -88,24 +88,24 @@
                 new ManualDrains(
                         list -> list.entries().forEach(e -> before.put(e.id(), e.state())));
         first.updateNodes(new NodeList(1, true, List.of(NODE)));
-        try (Doorway door = door(first)) {
-            assertThat(call(door, "exclude s-unknown")).startsWith("400 ");
-            assertThat(call(door, "exclude s-804c1214")).startsWith("200 ");
-            assertThat(call(door, "exclude s-804c1214")).startsWith("200 ");
+        try (OperatorPort port = start(first)) {
+            assertThat(call(port, "exclude s-unknown")).startsWith("400 ");
+            assertThat(call(port, "exclude s-804c1214")).startsWith("200 ");
+            assertThat(call(port, "exclude s-804c1214")).startsWith("200 ");
         }
         Map<String, State> after = new HashMap<>();
         ManualDrains upgraded =
                 new ManualDrains(list -> list.entries().forEach(e -> after.put(e.id(), e.state())));
-        try (Doorway door = door(upgraded)) {
+        try (OperatorPort port = start(upgraded)) {
             upgraded.updateNodes(new NodeList(1, true, List.of(NODE)));
             assertThat(after).containsEntry("s-804c1214", State.DRAINING);
-            assertThat(call(door, "include s-804c1214")).startsWith("200 ");
+            assertThat(call(port, "include s-804c1214")).startsWith("200 ");
             assertThat(after).containsEntry("s-804c1214", State.READY);
         }
         ManualDrains third = new ManualDrains(list -> {});
-        try (Doorway door = door(third)) {
+        try (OperatorPort port = start(third)) {
             assertThat(third.bans()).as("the include is kept too").isEmpty();
-            assertThat(call(door, "include s-804c1214"))
+            assertThat(call(port, "include s-804c1214"))
                     .as("not listed in this life")
                     .startsWith("400 ");
         }
@@ -114,13 +114,13 @@
     @Test
     void callersThatSayNothingKeepNoOneWaiting() throws IOException {
         ManualDrains drains = new ManualDrains(list -> {});
-        try (Doorway door = door(drains);
-                Socket silent = new Socket(door.address().getAddress(), door.address().getPort());
-                Socket half = new Socket(door.address().getAddress(), door.address().getPort())) {
+        try (OperatorPort port = start(drains);
+                Socket silent = new Socket(port.address().getAddress(), port.address().getPort());
+                Socket half = new Socket(port.address().getAddress(), port.address().getPort())) {
             half.getOutputStream().write("evac".getBytes(StandardCharsets.US_ASCII));
-            assertThat(call(door, "evacuate")).startsWith("200 ");
-            assertThat(call(door, "activate")).startsWith("200 ");
-            assertThat(call(door, "readyz")).startsWith("200 ");
+            assertThat(call(port, "evacuate")).startsWith("200 ");
+            assertThat(call(port, "activate")).startsWith("200 ");
+            assertThat(call(port, "readyz")).startsWith("200 ");
             assertThat(evacuations).containsExactly(true, false);
             assertThat(silent.isConnected()).isTrue();
         }
@@ -128,15 +128,15 @@
 
     @Test
     void twoProcessesCountTwoUntilTheFirstIsGone() throws Exception {
-        Doorway first = door(new ManualDrains(list -> {}));
-        assertThat(besides).as("alone").isEmpty();
+        OperatorPort first = start(new ManualDrains(list -> {}));
+        assertThat(processCounts).as("alone").isEmpty();
         List<Integer> second = new CopyOnWriteArrayList<>();
-        try (Doorway next = door(new ManualDrains(list -> {}), second)) {
+        try (OperatorPort next = start(new ManualDrains(list -> {}), second)) {
             assertThat(second).containsExactly(2);
             assertThat(call(next, "readyz"))
                     .as("the newcomer answers beside the first")
                     .startsWith("200 ");
-            cypressglade.standin.Site.await(() -> besides.equals(List.of(2)));
+            cypressglade.standin.Site.await(() -> processCounts.equals(List.of(2)));
             first.close();
             cypressglade.standin.Site.await(() -> second.equals(List.of(2, 1)));
         }
