--- a/src/main/java/cypressglade/adapter/FrameReader.java
+++ b/src/main/java/cypressglade/adapter/FrameReader.java
@@ -143,7 +143,7 @@
                                 readU8() != 0,
                                 readU16(),
                                 readU16());
-                readLoad();
+                readLoad(); // the policy takes load figures from probes only
                 handler.handleOutcome(instance, outcome);
             }
             case 19 -> handler.handleWithdrawal(instance, frame.getLong());
