--- /dev/null
+++ b/src/test/java/cypressglade/process/SmallSite.java
@@ -0,0 +1,72 @@
+package cypressglade.process;
+
+import cypressglade.process.RealScheduler.Place;
+import cypressglade.standin.HttpPeer;
+import cypressglade.standin.HttpPeer.Message;
+import cypressglade.standin.Site;
+import cypressglade.standin.StandIn;
+import java.io.DataInputStream;
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Optional;
+
+/** A scheduler of 128 MB with classes of 2 s, and the one storage node that it sends to. */
+final class SmallSite implements AutoCloseable {
+    static final int MEMORY_MB = 128;
+    static final String READ = "/job-read/00000003b4d60021/7f3a9c21e0b4d655";
+    static final String WRITE = "/job-write/00000003b4d60021/7f3a9c21e0b4d655";
+
+    final StandIn node;
+    final Place place;
+    final RealScheduler scheduler;
+
+    SmallSite(Path folder, HttpPeer.Script script) throws IOException {
+        this(folder, new HttpPeer(script));
+    }
+
+    SmallSite(Path folder, StandIn node) throws IOException {
+        this.node = node;
+        String entry = Site.entry(0, node.hostPort(), "active", 0);
+        place = Place.in(folder, entry, "127.0.0.1:1", MEMORY_MB);
+        String text = Files.readString(place.config());
+        Files.writeString(
+                place.config(),
+                text.replaceAll("\"objectiveUs\":\\d+", "\"objectiveUs\":1500000")
+                        .replaceAll("\"deadlineUs\":\\d+", "\"deadlineUs\":2000000"));
+        scheduler = RealScheduler.start(place, Optional.empty());
+    }
+
+    /** The headers of a request of two units whose client waits so long. */
+    static String headers(int waitMs) {
+        return Site.headers(waitMs, "standard", "units=2,shard=0,hosts=1");
+    }
+
+    static String read(int waitMs) {
+        return Site.request("GET", READ, headers(waitMs), "");
+    }
+
+    static String write(int waitMs, String body) {
+        return Site.request("PUT", WRITE, headers(waitMs), body);
+    }
+
+    static void send(Socket client, String text) throws IOException {
+        client.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    /** Sends a request on a new connection, and reads its answer. */
+    Message ask(String request) throws IOException {
+        try (Socket client = scheduler.connect()) {
+            send(client, request);
+            return Message.read(new DataInputStream(client.getInputStream()));
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        scheduler.close();
+        node.close();
+    }
+}
--- a/src/test/java/cypressglade/standin/HttpPeer.java
+++ b/src/test/java/cypressglade/standin/HttpPeer.java
@@ -1,5 +1,6 @@
 package cypressglade.standin;
 
+import java.io.ByteArrayOutputStream;
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
 import java.io.IOException;
@@ -26,20 +27,39 @@
         }
 
         public static Message read(DataInputStream in) throws IOException {
-            String first = line(in);
+            String first = readLine(in);
             Map<String, String> headers = new TreeMap<>();
-            for (String line = line(in); !line.isEmpty(); line = line(in)) {
+            for (String line = readLine(in); !line.isEmpty(); line = readLine(in)) {
                 int colon = line.indexOf(':');
                 headers.put(
                         line.substring(0, colon).toLowerCase(Locale.ROOT),
                         line.substring(colon + 1).trim());
             }
-            byte[] body = new byte[Integer.parseInt(headers.getOrDefault("content-length", "0"))];
-            in.readFully(body);
+            byte[] body =
+                    headers.containsKey("transfer-encoding")
+                            ? readChunks(in)
+                            : new byte
+                                    [Integer.parseInt(headers.getOrDefault("content-length", "0"))];
+            if (!headers.containsKey("transfer-encoding")) {
+                in.readFully(body);
+            }
             return new Message(first, headers, new String(body, StandardCharsets.ISO_8859_1));
         }
 
-        private static String line(DataInputStream in) throws IOException {
+        private static byte[] readChunks(DataInputStream in) throws IOException {
+            ByteArrayOutputStream body = new ByteArrayOutputStream();
+            for (int size = Integer.parseInt(readLine(in), 16);
+                    size > 0;
+                    size = Integer.parseInt(readLine(in), 16)) {
+                body.write(in.readNBytes(size));
+                readLine(in);
+            }
+            readLine(in);
+            return body.toByteArray();
+        }
+
+        /** Reads a line, without its end. */
+        public static String readLine(DataInputStream in) throws IOException {
             StringBuilder line = new StringBuilder();
             for (int next = in.readUnsignedByte(); next != '\n'; next = in.readUnsignedByte()) {
                 line.append((char) next);
