Pass long answers on as they come, and end an attempt by its deadline, not by a pause

What callers saw: sound answers were cut off 0.2 s after a pause, refused for the memory of a few long ones, or ended 30 ms before the client's time with nothing passed on. Cause: NodeClient.MAX_SILENCE ended an attempt whose answer paused; every answer was held whole, and all of them shared a sixth of the heap; the deadline ended what could have been passed on. Change: an answer of more than 64 KiB, or one that finds no room, is handed to the client's connection as core.AnswerStream from its first bytes on, no faster than the client takes it; its request is over for the module then and is never sent again. One of unknown length that is still coming at the deadline is passed on from there. It ends with its node, with its client, or after 3 s without a byte. A pause of 0.2 s only lets another attempt begin beside the first, where the class allows it; a refusal or a failure waits for the first one's end. A full pool of node connections gives up the answer that its client has not taken for longest, from 1 s on.

--- a/src/main/java/cypressglade/http/NodeClient.java
+++ b/src/main/java/cypressglade/http/NodeClient.java
@@ -14,6 +14,7 @@
 import java.time.Instant;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Function;
@@ -23,15 +24,18 @@
  * thread; {@link #reconfigure} may be called from any thread.
  */
 public final class NodeClient implements NodeLink<NodeRequest> {
+    /** The longest answer body; a longer one is an error. */
+    private static final int MAX_BODY_BYTES = 32 << 20;
+
     /**
-     * The longest answer body. Nodes send valid answers of some 400 KB although the protocol
-     * specifies 64 KiB. A longer body is an error; the bodies of all answers together are bounded
-     * by the memory budget.
+     * The longest part of an answer that is held back until the answer is whole. The protocol's
+     * ordinary answers are no longer than this. A longer one is passed on while it arrives, and its
+     * request cannot be sent again from then on.
      */
-    private static final int MAX_BODY_BYTES = 2 << 20;
+    private static final int MAX_HELD_BYTES = 64 * 1024;
 
-    /** Nodes write an answer in one go, so the rest of one that pauses for longer never comes. */
-    private static final Duration MAX_SILENCE = Duration.ofMillis(200);
+    /** Time without input after which another attempt may begin beside that of an answer. */
+    private static final Duration STALL_TIME = Duration.ofMillis(200);
 
     private final NodePool pool;
     private volatile List<String> loadNames;
@@ -41,7 +45,8 @@
     /**
      * Creates a client that sends through a pool.
      *
-     * @param maxBufferedBytes the maximum size of all bodies that are being received at a time
+     * @param maxBufferedBytes the bytes of all answers together that are held back; beyond that
+     *     each is passed on as it comes
      * @param loadNames the names of the figures in a node's load report ({@code
      *     Settings.loadNames})
      */
@@ -52,8 +57,8 @@
     }
 
     /**
-     * Changes the maximum size of all bodies that are being received, in bytes, and the names of
-     * the figures in a load report.
+     * Changes how many bytes of all answers together are held back, and the names of the figures in
+     * a load report.
      */
     public void reconfigure(int maxBytes, List<String> names) {
         maxBufferedBytes = maxBytes;
@@ -67,7 +72,8 @@
             Instant deadline,
             BooleanSupplier wanted,
             Consumer<AttemptResult> resultConsumer) {
-        return new HttpExchange(node, request::encode, deadline, wanted, resultConsumer).start();
+        return new HttpExchange(node, request::encode, false, deadline, wanted, resultConsumer)
+                .start();
     }
 
     @Override
@@ -76,6 +82,7 @@
         new HttpExchange(
                         node,
                         left -> NodeRequest.encodeProbe(),
+                        true,
                         deadline,
                         () -> true,
                         resultConsumer)
@@ -84,17 +91,20 @@
 
     private final class HttpExchange extends NodePool.Exchange {
         private final Function<Duration, List<ByteBuffer>> message;
+        private final boolean isProbe;
         private final ResponseBody body = new ResponseBody();
         private final ResponseParser parser = new ResponseParser(this::addToBody, MAX_BODY_BYTES);
 
         HttpExchange(
                 long node,
                 Function<Duration, List<ByteBuffer>> message,
+                boolean isProbe,
                 Instant deadline,
                 BooleanSupplier wanted,
                 Consumer<AttemptResult> resultConsumer) {
             pool.super(node, deadline, wanted, resultConsumer);
             this.message = message;
+            this.isProbe = isProbe;
         }
 
         @Override
@@ -118,8 +128,31 @@
         }
 
         @Override
-        protected Optional<Duration> maxSilence() {
-            return Optional.of(MAX_SILENCE);
+        protected Optional<Duration> stallTime() {
+            return isProbe ? Optional.empty() : Optional.of(STALL_TIME);
+        }
+
+        @Override
+        protected boolean mustPassOn() {
+            return isServable()
+                    && (parser.length() > MAX_HELD_BYTES
+                            || body.size() > MAX_HELD_BYTES
+                            || bufferedBytes > maxBufferedBytes);
+        }
+
+        @Override
+        protected boolean mayPassOn() {
+            return isServable() && parser.length() < 0 && body.size() > 0;
+        }
+
+        /** Whether the answer serves its request, as far as it has arrived. */
+        private boolean isServable() {
+            return !isProbe && parser.hasHead() && parser.status() == 200;
+        }
+
+        @Override
+        protected OptionalLong answerLength() {
+            return parser.length() < 0 ? OptionalLong.empty() : OptionalLong.of(parser.length());
         }
 
         @Override
@@ -134,7 +167,7 @@
 
         @Override
         protected ResponseMetadata responseMetadata() {
-            return parser.isComplete()
+            return parser.isComplete() || isPassedOn()
                     ? parser.report().toResponseMetadata(loadNames)
                     : ResponseMetadata.NOTHING;
         }
@@ -146,18 +179,20 @@
             return parser.status() == 200 ? Status.OK : Status.ERROR;
         }
 
-        private void addToBody(ByteBuffer part) throws IOException {
-            bufferedBytes -= body.capacity();
-            body.append(part, parser.length());
-            bufferedBytes += body.capacity();
-            if (bufferedBytes > maxBufferedBytes) {
-                throw new IOException("no buffer space left for the response");
+        private void addToBody(ByteBuffer part) {
+            if (isPassedOn()) {
+                passOn(part);
+            } else if (isServable()) {
+                bufferedBytes -= body.capacity();
+                body.append(part, parser.length());
+                bufferedBytes += body.capacity();
             }
         }
 
         @Override
         protected void release() {
             bufferedBytes -= body.capacity();
+            body.release();
         }
     }
 }
--- a/src/main/java/cypressglade/http/ResponseParser.java
+++ b/src/main/java/cypressglade/http/ResponseParser.java
@@ -92,6 +92,11 @@
         return state == State.DONE;
     }
 
+    /** Whether the head of the final response has been read. */
+    boolean hasHead() {
+        return state.compareTo(State.BODY) >= 0;
+    }
+
     /** The status code, once the status line has been read. */
     int status() {
         return status;
@@ -190,7 +195,7 @@
             }
             case CHUNK_SIZE -> {
                 headBytes = 0;
-                remaining = parseLength(text.replaceFirst(";.*", "").trim(), 16);
+                remaining = parseLength(withoutExtension(text).trim(), 16);
                 checkBodyLength(bodyBytes + remaining);
                 state = remaining == 0 ? State.TRAILERS : State.CHUNK;
             }
@@ -205,6 +210,11 @@
         }
     }
 
+    private static String withoutExtension(String chunkSize) {
+        int extension = chunkSize.indexOf(';');
+        return extension < 0 ? chunkSize : chunkSize.substring(0, extension);
+    }
+
     private void parseHeader(String text) throws IOException {
         int colon = text.indexOf(':');
         if (colon <= 0 || !text.chars().limit(colon).allMatch(ResponseParser::isHeaderNameChar)) {
--- a/src/main/java/cypressglade/net/NodePool.java
+++ b/src/main/java/cypressglade/net/NodePool.java
@@ -1,5 +1,6 @@
 package cypressglade.net;
 
+import cypressglade.core.AnswerStream;
 import cypressglade.core.Counters;
 import cypressglade.core.MonotonicClock;
 import cypressglade.core.NodeDirectory;
@@ -15,10 +16,14 @@
 import java.util.ArrayDeque;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.xnio.XnioExecutor;
@@ -35,6 +40,18 @@
     private static final Duration MAX_IDLE_TIMEOUT = Duration.ofSeconds(12);
     private static final Duration SWEEP_INTERVAL = Duration.ofSeconds(1);
 
+    /**
+     * How long a node may write nothing of an answer that is passed on; nobody waits for what comes
+     * after.
+     */
+    private static final Duration MAX_STREAM_SILENCE = Duration.ofSeconds(3);
+
+    /** Time after which an answer that its client does not take may be given up for others. */
+    private static final Duration MIN_PAUSE = Duration.ofSeconds(1);
+
+    /** An answer of which a part came within this time is taken to go on at the deadline. */
+    private static final Duration RECENT = Duration.ofSeconds(1);
+
     /** A longer wait for a connection would count the send too late against a volume's limit. */
     private static final Duration MAX_CONNECT_TIMEOUT = Duration.ofMillis(150);
 
@@ -45,6 +62,7 @@
     private Duration idleTimeout;
     private int maxConnections;
     private final Map<String, ArrayDeque<IdleConnection>> idle = new HashMap<>();
+    private final Set<Exchange.Stream> streams = new HashSet<>();
     private int openConnections;
 
     /**
@@ -176,8 +194,8 @@
     }
 
     /**
-     * Makes room for a new connection by closing the one that was idle longest, if the pool is
-     * full.
+     * Makes room for a new connection, if the pool is full: by closing the one that was idle
+     * longest, or that of the answer which its client has not taken for longest.
      *
      * @return whether there is room; false where every connection carries a request
      */
@@ -189,6 +207,13 @@
                     .min(Comparator.comparing(pooled -> pooled.idleSince))
                     .ifPresent(IdleConnection::discard);
         }
+        if (openConnections >= maxConnections) {
+            Instant longAgo = MonotonicClock.now().minus(MIN_PAUSE);
+            streams.stream()
+                    .filter(stream -> stream.isPaused && stream.pausedAt.isBefore(longAgo))
+                    .min(Comparator.comparing(stream -> stream.pausedAt))
+                    .ifPresent(Exchange.Stream::giveUp);
+        }
         return openConnections < maxConnections;
     }
 
@@ -210,6 +235,8 @@
         private int readCount;
         private Instant lastReadAt = startedAt;
         private XnioExecutor.Key silenceTimer;
+        private Optional<CompletableFuture<AttemptResult>> late = Optional.empty();
+        private Optional<Stream> stream = Optional.empty();
         private boolean finished;
 
         /**
@@ -269,13 +296,39 @@
         protected abstract Optional<Status> read(ByteBuffer in) throws IOException;
 
         /**
-         * The longest time between two reads of an answer that has begun; empty where it has no
-         * bound.
+         * The time without input after which an answer that has begun is reported as stalled, so
+         * that another attempt may begin; the exchange goes on all the same. Empty where it is not
+         * reported.
          */
-        protected Optional<Duration> maxSilence() {
+        protected Optional<Duration> stallTime() {
             return Optional.empty();
         }
 
+        /** Whether what has arrived of an answer must not be held back any longer. */
+        protected boolean mustPassOn() {
+            return false;
+        }
+
+        /** Whether an answer that is incomplete at the deadline may be passed on from then on. */
+        protected boolean mayPassOn() {
+            return false;
+        }
+
+        /** The length of the answer's body in bytes, if it is known. */
+        protected OptionalLong answerLength() {
+            return OptionalLong.empty();
+        }
+
+        /** Passes on the next bytes of an answer that is being passed on. */
+        protected final void passOn(ByteBuffer part) {
+            stream.orElseThrow().receiver.received(part);
+        }
+
+        /** Whether the answer is being passed on while it arrives. */
+        protected final boolean isPassedOn() {
+            return stream.isPresent();
+        }
+
         /**
          * The attempt's status if the end of the stream completes the answer; empty if it does not.
          */
@@ -306,7 +359,14 @@
          */
         public Attempt start() {
             loop.execute(this::open);
-            return () -> loop.execute(() -> end(Status.CANCELLED));
+            return () -> loop.execute(this::cancel);
+        }
+
+        /** Ends the attempt early. An answer that is passed on is cancelled by its stream only. */
+        private void cancel() {
+            if (stream.isEmpty()) {
+                end(Status.CANCELLED);
+            }
         }
 
         private void open() {
@@ -394,6 +454,7 @@
             Duration left = MonotonicClock.until(deadline);
             requestStarted = true;
             setTimer(left, Status.TIMEOUT);
+            connection.setReadLimit(EventLoop.INPUT_BUFFER_BYTES);
             connection.readInto(this);
             connection.send(message(left));
         }
@@ -411,14 +472,18 @@
         public final void received(ByteBuffer in) {
             Optional<Status> status;
             readCount++;
+            lastReadAt = MonotonicClock.now();
             try {
                 status = read(in);
             } catch (IOException unreadable) {
                 endUnreadable();
                 return;
             }
+            if (finished) { // by who receives the answer
+                return;
+            }
             if (status.isEmpty()) {
-                maxSilence().ifPresent(this::watchSilence);
+                handlePart();
             } else if (status.get() == Status.OK && connection.unsentBytes() > 0) {
                 endUnreadable(); // not an answer to this request, which is not fully written
             } else {
@@ -430,6 +495,14 @@
             }
         }
 
+        private void handlePart() {
+            if (stream.isEmpty() && connection.unsentBytes() == 0 && mustPassOn()) {
+                beginStream();
+            } else if (stream.isEmpty() && late.isEmpty()) {
+                stallTime().ifPresent(this::watchStall);
+            }
+        }
+
         private void endUnreadable() {
             counters.add(Counters.Name.SPOILT);
             end(statusIfWritten(Status.ERROR));
@@ -440,26 +513,154 @@
          * exchange, which is cancelled at its end: with a timer for each read, the pending timers
          * kept the bodies of recently ended exchanges in the heap.
          */
-        private void watchSilence(Duration maxSilence) {
-            lastReadAt = MonotonicClock.now();
+        private void watchStall(Duration stallTime) {
             if (silenceTimer == null) {
-                silenceTimer = loop.executeAfter(maxSilence, () -> checkSilence(maxSilence));
+                silenceTimer = loop.executeAfter(stallTime, () -> checkStall(stallTime));
             }
         }
 
-        private void checkSilence(Duration maxSilence) {
+        private void checkStall(Duration stallTime) {
             silenceTimer = null;
             Duration elapsed = Duration.between(lastReadAt, MonotonicClock.now());
-            if (elapsed.compareTo(maxSilence) < 0) {
-                silenceTimer =
-                        loop.executeAfter(
-                                maxSilence.minus(elapsed), () -> checkSilence(maxSilence));
+            if (elapsed.compareTo(stallTime) < 0) {
+                watchStall(stallTime.minus(elapsed));
                 return;
             }
             int readsBefore = readCount;
             connection.readNow(); // input that arrived while this thread was busy
-            if (!finished && readCount == readsBefore) {
-                endUnreadable();
+            if (!finished && stream.isEmpty() && readCount == readsBefore) {
+                reportStall();
+            }
+        }
+
+        /** Reports the attempt as failed, though its answer may go on; its real end comes later. */
+        private void reportStall() {
+            counters.add(Counters.Name.SPOILT);
+            CompletableFuture<AttemptResult> realEnd = new CompletableFuture<>();
+            late = Optional.of(realEnd);
+            resultConsumer.accept(
+                    AttemptResult.stalled(statusIfWritten(Status.ERROR), latency(), realEnd));
+        }
+
+        /** Hands over what has arrived of the answer, and from here on passes on what comes. */
+        private void beginStream() {
+            removeTimers();
+            connection.pauseReading();
+            Stream rest = new Stream();
+            stream = Optional.of(rest);
+            streams.add(rest);
+            counters.add(Counters.Name.STREAMED);
+            rest.watchSilence();
+            report(result(Status.OK).withRest(rest));
+            release();
+        }
+
+        private void report(AttemptResult result) {
+            if (late.isPresent()) {
+                late.get().complete(result);
+            } else {
+                resultConsumer.accept(result);
+            }
+        }
+
+        private AttemptResult result(Status status) {
+            return AttemptResult.fromResponse(status, answer(), responseMetadata(), latency());
+        }
+
+        private Duration latency() {
+            Duration duration =
+                    Duration.between(startedAt, MonotonicClock.now()).minus(loop.meanLateness());
+            return duration.isNegative() ? Duration.ZERO : duration;
+        }
+
+        private void removeTimers() {
+            if (timer != null) {
+                timer.remove();
+            }
+            if (silenceTimer != null) {
+                silenceTimer.remove();
+                silenceTimer = null;
+            }
+        }
+
+        /** The answer from where it began to be passed on; ends with its exchange. */
+        private final class Stream implements AnswerStream {
+            private Receiver receiver;
+            private boolean isPaused = true;
+            private Instant pausedAt = MonotonicClock.now();
+
+            @Override
+            public OptionalLong length() {
+                return answerLength();
+            }
+
+            @Override
+            public void start(Receiver client) {
+                if (finished) {
+                    client.failed();
+                    return;
+                }
+                receiver = client;
+                resume(EventLoop.INPUT_BUFFER_BYTES);
+            }
+
+            @Override
+            public void pause() {
+                isPaused = true;
+                pausedAt = MonotonicClock.now();
+                if (!finished) {
+                    connection.pauseReading();
+                }
+            }
+
+            @Override
+            public void resume(int maxBytes) {
+                if (!finished) {
+                    isPaused = false;
+                    lastReadAt = MonotonicClock.now();
+                    connection.setReadLimit(maxBytes);
+                    connection.readInto(Exchange.this);
+                }
+            }
+
+            @Override
+            public void cancel() {
+                loop.execute(
+                        () -> {
+                            receiver = null;
+                            end(Status.CANCELLED);
+                        });
+            }
+
+            private void giveUp() {
+                end(Status.CANCELLED);
+            }
+
+            private void watchSilence() {
+                lastReadAt = MonotonicClock.now();
+                silenceTimer = loop.executeAfter(MAX_STREAM_SILENCE, this::checkSilence);
+            }
+
+            /** Ends a stream that its node does not write, or that nobody has started. */
+            private void checkSilence() {
+                Duration silent = Duration.between(lastReadAt, MonotonicClock.now());
+                boolean isAwaited = receiver == null || !isPaused;
+                if (isAwaited && silent.compareTo(MAX_STREAM_SILENCE) >= 0) {
+                    end(Status.RESET);
+                } else {
+                    silenceTimer = loop.executeAfter(MAX_STREAM_SILENCE, this::checkSilence);
+                }
+            }
+
+            private void finish(Status status) {
+                if (receiver == null) {
+                    return;
+                }
+                if (status == Status.OK) {
+                    receiver.ended();
+                } else {
+                    receiver.failed();
+                }
             }
         }
 
@@ -495,10 +696,23 @@
                                 if (requestStarted && !finished) {
                                     connection.readNow(); // the answer may have arrived unread
                                 }
-                                end(statusIfWritten(status));
+                                endAtDeadline(status);
                             });
         }
 
+        private void endAtDeadline(Status status) {
+            boolean isArriving =
+                    Duration.between(lastReadAt, MonotonicClock.now()).compareTo(RECENT) < 0;
+            if (finished || stream.isPresent()) {
+                return;
+            }
+            if (requestStarted && isArriving && connection.unsentBytes() == 0 && mayPassOn()) {
+                beginStream();
+            } else {
+                end(statusIfWritten(status));
+            }
+        }
+
         /**
          * Ends the exchange, once. Its connection, unless it went back to the pool, is closed
          * before the result is passed on.
@@ -508,27 +722,21 @@
                 return;
             }
             finished = true;
-            if (timer != null) {
-                timer.remove();
-            }
-            if (silenceTimer != null) {
-                silenceTimer.remove();
-            }
+            removeTimers();
             if (connection != null) {
                 close(connection);
             } else if (pendingConnection != null) {
                 pendingConnection.cancel();
             }
-            Duration duration =
-                    Duration.between(startedAt, MonotonicClock.now()).minus(loop.meanLateness());
-            AttemptResult result =
-                    AttemptResult.fromResponse(
-                            status,
-                            answer(),
-                            responseMetadata(),
-                            duration.isNegative() ? Duration.ZERO : duration);
+            if (stream.isPresent()) {
+                streams.remove(stream.get());
+                release();
+                stream.get().finish(status);
+                return;
+            }
+            AttemptResult result = result(status);
             release();
-            resultConsumer.accept(result);
+            report(result);
         }
     }
 }
--- a/src/test/java/cypressglade/http/ServeTest.java
+++ b/src/test/java/cypressglade/http/ServeTest.java
@@ -654,9 +654,45 @@
         node.script(answer(200, "", "x".repeat(400_000)));
         assertThat(read().body()).isEqualTo("x".repeat(400_000));
         node.script(answer(200, "", "x".repeat(2_100_000)));
+        assertThat(write().body()).isEqualTo("x".repeat(2_100_000));
+        // Bodies of up to 32 MB are sound.
+        node.script(
+                (request, out) ->
+                        HttpPeer.write(
+                                out, "HTTP/1.1 200 OK\r\nContent-Length: 33554433\r\n\r\nx"));
         assertThat(write().status()).isEqualTo(502);
     }
 
+    private static HttpPeer.Script answerWithAPause(String first, String second) {
+        return (request, out) -> {
+            HttpPeer.write(out, "HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\n" + first);
+            Thread.sleep(400);
+            HttpPeer.write(out, second);
+        };
+    }
+
+    /** Guards against failing a write whose answer pauses, and against sending it again. */
+    @Test
+    void answerOfAWriteThatPausesIsServed() throws Exception {
+        node.script(answerWithAPause("the ", "data"));
+        assertThat(write().body()).isEqualTo("the data");
+        assertThat(node.requests).hasSize(1);
+    }
+
+    /** Guards against losing the first of two attempts, where the second gets no answer. */
+    @Test
+    void answerOfAReadThatPausesIsServedWhereTheSecondAttemptHangs() throws Exception {
+        node.script(
+                (request, out) -> {
+                    node.script((second, nothing) -> Thread.sleep(5000));
+                    answerWithAPause("the ", "data").answer(request, out);
+                });
+        assertThat(read().body()).isEqualTo("the data");
+        assertThat(node.requests).hasSize(2);
+        assertThat(site.serve.counters().get(Name.ANSWERED_SERVED)).isEqualTo(1);
+        assertThat(read().status()).as("of a request whose node hangs").isNotEqualTo(200);
+    }
+
     @Test
     void countersAreShownOnRequest() throws Exception {
         read();
--- a/src/test/java/cypressglade/process/FloodIT.java
+++ b/src/test/java/cypressglade/process/FloodIT.java
@@ -7,10 +7,10 @@
 import java.io.DataInputStream;
 import java.io.IOException;
 import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -22,6 +22,7 @@
     private static final long BETWEEN_MS = 40;
     private static final long FLOOD_MS = 4000;
     private static final int REQUESTS_A_WRITE = 50;
+    private static final String OTHER_VOLUME = "/000000000000f00d/";
     private static final int READ_BYTES = 64 * 1024;
 
     @TempDir Path folder;
@@ -38,14 +39,15 @@
         "/healthz, 6, false",
         "/counters, 1, true",
         "/counters, 6, true",
-        "/recent, 6, true"
+        "/recent, 6, true",
+        "/no-class/0000000000000001/0000000000000002, 6, true",
+        "reads, 6, true"
     })
     void othersAreServedInTimeBesideClientsThatSendAtFullSpeed(
             String path, int senders, boolean reading) throws Exception {
         try (SmallSite site = new SmallSite(folder, HttpPeer.answer(200, "", "data"))) {
             assertThat(site.ask(SmallSite.read(WAIT_MS)).status()).isEqualTo(200);
-            String requests =
-                    ("GET " + path + " HTTP/1.1\r\nHost: x\r\n\r\n").repeat(REQUESTS_A_WRITE);
+            Supplier<String> requests = () -> requests(path);
             try (Load flood = new Load(senders, over -> flood(site, requests, reading, over));
                     Load others = new Load(OTHERS, over -> ask(site, over))) {
                 RealScheduler.pause(FLOOD_MS);
@@ -61,9 +63,21 @@
         }
     }
 
+    /** Requests for a page, or reads with new ids of a volume that nobody else asks for. */
+    private static String requests(String path) {
+        if (!path.equals("reads")) {
+            return ("GET " + path + " HTTP/1.1\r\nHost: x\r\n\r\n").repeat(REQUESTS_A_WRITE);
+        }
+        StringBuilder reads = new StringBuilder();
+        for (int i = 0; i < REQUESTS_A_WRITE; i++) {
+            reads.append(SmallSite.read(WAIT_MS).replaceFirst("/00000003b4d60021/", OTHER_VOLUME));
+        }
+        return reads.toString();
+    }
+
     /** Writes requests as fast as they are taken; ends with the first failure, or once over. */
     private static void flood(
-            SmallSite site, String requests, boolean reading, BooleanSupplier over) {
+            SmallSite site, Supplier<String> requests, boolean reading, BooleanSupplier over) {
         try (Socket client = site.scheduler.connect()) {
             Thread reader = new Thread(() -> discardInput(client), "reader");
             if (reading) {
@@ -79,9 +93,8 @@
                             },
                             "watch");
             watch.start();
-            byte[] bytes = requests.getBytes(StandardCharsets.US_ASCII);
             while (!over.getAsBoolean()) {
-                client.getOutputStream().write(bytes);
+                SmallSite.send(client, requests.get());
             }
         } catch (IOException ended) {
             // by the scheduler, or as it is over
