Keep the id of a request for 10 s at least, and share ids between the processes of an upgrade

What callers saw: an unsafe write whose client had left ran a second time when its id came again, at the same process after a second or at the other process of an upgrade at once. Cause: TraceIds.RETENTION kept an id for 0.5 s after the client's own wait, which may be shorter than its attempt; each process kept its own. Change: an id is kept for 10 s, or twice the longest deadline, from its first request on. RequestParser's hash of keys is core.Fnv1a now, used by both.

--- a/src/main/java/cypressglade/cli/OperatorPort.java
+++ b/src/main/java/cypressglade/cli/OperatorPort.java
@@ -83,10 +83,7 @@
             throws IOException {
         this.drains = drains;
         this.scheduler = scheduler;
-        directory =
-                Path.of(
-                        temporary == null || temporary.isBlank() ? "/tmp" : temporary,
-                        "cypressglade-" + name.replaceAll("[^A-Za-z0-9._-]", "_"));
+        directory = sharedDirectory(name, temporary);
         bans = new BanFile(directory, drains);
         bans.restore();
         countProcesses();
@@ -103,6 +100,17 @@
                                         MonotonicClock::now));
     }
 
+    /**
+     * The directory that all processes of a scheduler share.
+     *
+     * @param temporary the value of {@code $TMPDIR}; {@code /tmp} where it is null or blank
+     */
+    static Path sharedDirectory(String name, String temporary) {
+        return Path.of(
+                temporary == null || temporary.isBlank() ? "/tmp" : temporary,
+                "cypressglade-" + name.replaceAll("[^A-Za-z0-9._-]", "_"));
+    }
+
     /** Runs periodically, on the port's thread. */
     private synchronized void check() {
         countProcesses();
--- a/src/main/java/cypressglade/cli/Serve.java
+++ b/src/main/java/cypressglade/cli/Serve.java
@@ -66,6 +66,8 @@
      */
     private static final Duration FIRST_LIST_TIMEOUT = Duration.ofSeconds(1);
 
+    private static final String TEMPORARY = "TMPDIR";
+    private static final String TRACE_IDS = "trace-ids.";
     private static final String MEMBER = "member ";
     private static final String EVACUATE = "evacuate";
     private static final String ACTIVATE = "activate";
@@ -157,6 +159,7 @@
                         config.settings().listOnRequest());
         discovery.start();
         clients = clientListener();
+        shareIds();
         nbdListener = nbdListener(directory);
     }
 
@@ -182,7 +185,7 @@
                 new OperatorPort(
                         config.operator().get(),
                         config.name(),
-                        System.getenv("TMPDIR"),
+                        System.getenv(TEMPORARY),
                         drains,
                         new OperatorCalls()));
     }
@@ -224,6 +227,19 @@
                 files.storms().map(Serve::connectionPacer));
     }
 
+    /** Shares the ids of requests where another process may serve beside this one. */
+    private void shareIds() {
+        if (config.operator().isEmpty() || config.listen().getPort() == 0) {
+            return;
+        }
+        SharedIdFile file =
+                new SharedIdFile(
+                        OperatorPort.sharedDirectory(config.name(), System.getenv(TEMPORARY))
+                                .resolve(TRACE_IDS + config.listen().getPort()),
+                        ClientListener.sharedIdBytes());
+        clients.shareIds(file::map);
+    }
+
     private static ConnectionPacer connectionPacer(StormSettings storms) {
         return new ConnectionPacer(storms.connectionsPerSecond(), MonotonicClock.now());
     }
--- a/src/main/java/cypressglade/http/ClientListener.java
+++ b/src/main/java/cypressglade/http/ClientListener.java
@@ -18,6 +18,7 @@
 import cypressglade.storm.ConnectionPacer;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Comparator;
@@ -27,6 +28,7 @@
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
+import java.util.function.Supplier;
 
 /**
  * The HTTP/1.1 listener for clients. Accepts connections, whose requests a {@link RequestHandler}
@@ -136,6 +138,22 @@
                         new ConnectionCloser());
     }
 
+    /** Bytes of memory in which the ids of requests are shared with other processes. */
+    public static int sharedIdBytes() {
+        return IdTable.BYTES;
+    }
+
+    /**
+     * Shares the ids of requests with the other processes of this scheduler, so that a copy that
+     * comes to another one is not sent. To be called before {@link #start}.
+     *
+     * @param memory of {@link #sharedIdBytes} bytes, zero at first; empty where it cannot be had
+     *     now, to be tried again later
+     */
+    public void shareIds(Supplier<Optional<ByteBuffer>> memory) {
+        handler.shareIds(memory);
+    }
+
     /**
      * Starts listening.
      *
@@ -333,7 +351,7 @@
     /** Closes connections whose time is over, expires requests, and schedules its next run. */
     private void sweep() {
         makeRoomForClients();
-        handler.removeExpired();
+        handler.retryShare();
         requestPool.expireOverdue(MonotonicClock.now());
         Instant idleSince = MonotonicClock.now().minus(IDLE_TIMEOUT);
         Instant writingSince = MonotonicClock.now().minus(WRITE_TIMEOUT);
--- a/src/main/java/cypressglade/http/RequestHandler.java
+++ b/src/main/java/cypressglade/http/RequestHandler.java
@@ -12,11 +12,13 @@
 import cypressglade.core.Scheduler.Settings;
 import cypressglade.net.ByteBudget;
 import cypressglade.net.EventLoop;
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 
 /**
  * Handles the requests of all clients: answers those about the program itself, rejects malformed
@@ -40,7 +42,7 @@
     private final BooleanSupplier isReady;
     private final ByteBudget inputBudget;
     private final Connections connections;
-    private final TraceIds traceIds = new TraceIds();
+    private TraceIds traceIds;
     private final CachedText countersText;
     private final CachedText recentText;
     private RequestParser parser;
@@ -84,6 +86,7 @@
         this.inputBudget = inputBudget;
         this.connections = connections;
         parser = new RequestParser(settings);
+        traceIds = new TraceIds(parser.maxDeadline(), Optional::empty);
         countersText = new CachedText(counters::text);
         recentText = new CachedText(requestLog::text);
     }
@@ -103,9 +106,14 @@
         return !latestDeadline.equals(Instant.MAX);
     }
 
-    /** Frees what is kept of requests that are over. To be called periodically. */
-    void removeExpired() {
-        traceIds.removeExpired();
+    /** Shares the ids of requests with other processes from now on. */
+    void shareIds(Supplier<Optional<ByteBuffer>> memory) {
+        traceIds = new TraceIds(parser.maxDeadline(), memory);
+    }
+
+    /** Tries again what the disk has refused. To be called periodically. */
+    void retryShare() {
+        traceIds.share();
     }
 
     void execute(Runnable task) {
@@ -154,7 +162,7 @@
         try {
             request = parser.parse(head, arrived).withDeadlineAtMost(latestDeadline);
             body = bodyDecoder(head);
-            if (!traceIds.register(head.first(RequestHead.TRACE_ID), request.expiry())) {
+            if (!traceIds.register(head.first(RequestHead.TRACE_ID))) {
                 throw new RejectedRequestException(
                         HttpStatus.CONFLICT, "X-Trace-Id is another request's");
             }
--- a/src/main/java/cypressglade/http/RequestParser.java
+++ b/src/main/java/cypressglade/http/RequestParser.java
@@ -1,5 +1,6 @@
 package cypressglade.http;
 
+import cypressglade.core.Fnv1a;
 import cypressglade.core.IoRequest;
 import cypressglade.core.Micros;
 import cypressglade.core.Scheduler.Plan;
@@ -18,10 +19,6 @@
  * Immutable.
  */
 final class RequestParser {
-    /** Offset basis of 64-bit FNV-1a (Fowler, Noll and Vo). */
-    private static final long FNV_OFFSET_BASIS = 0xcbf29ce484222325L;
-
-    private static final long FNV_PRIME = 0x100000001b3L;
     private static final Pattern PATH_PATTERN = Pattern.compile("/([^/]+)/([^/]+)/([^/]+)");
     private static final Pattern HEX_NUMBER = Pattern.compile("[0-9a-fA-F]{16}");
     private static final Pattern IO_INFO_ITEM =
@@ -62,6 +59,11 @@
                         .orElse(MAX_EXPIRES_IN_MILLIS);
     }
 
+    /** The longest deadline of any class. */
+    Duration maxDeadline() {
+        return Duration.ofMillis(maxDeadlineMillis);
+    }
+
     /**
      * Parses the head of a request.
      *
@@ -120,10 +122,7 @@
         if (key == null) {
             return 0;
         }
-        long hash = FNV_OFFSET_BASIS;
-        for (int i = 0; i < key.length(); i++) {
-            hash = (hash ^ key.charAt(i)) * FNV_PRIME;
-        }
+        long hash = Fnv1a.hash(key);
         return hash == 0 ? 1 : hash;
     }
 
--- a/src/main/java/cypressglade/http/TraceIds.java
+++ b/src/main/java/cypressglade/http/TraceIds.java
@@ -1,53 +1,73 @@
 package cypressglade.http;
 
-import cypressglade.core.MonotonicClock;
+import cypressglade.core.Fnv1a;
+import java.nio.ByteBuffer;
 import java.time.Duration;
-import java.time.Instant;
-import java.util.Iterator;
-import java.util.LinkedHashMap;
-import java.util.Map;
+import java.util.Optional;
+import java.util.function.Supplier;
 
 /**
- * The trace ids of requests that are open or whose attempts may still run at a node. To a node,
- * another request under one of them would be a second copy, whoever sends it. The table is bounded.
- * Used on the I/O thread only.
+ * The trace ids of requests that were taken, for as long as a copy of one may come. To a node,
+ * another request under one of them would be a second copy, whoever sends it and whichever process
+ * of an upgrade takes it. Used on the I/O thread only.
  */
 final class TraceIds {
-    private static final int MAX_IDS = 8192;
+    /** A copy may be as late as the attempts of the first and of the copy take together. */
+    private static final int DEADLINES_KEPT = 2;
 
-    /**
-     * How long an id is kept after its request expired: a node may begin a request until the time
-     * that it was sent with is over.
-     */
-    private static final Duration RETENTION = Duration.ofMillis(500);
+    private static final Duration MIN_RETENTION = Duration.ofSeconds(10);
 
-    private final Map<String, Instant> keptUntil = new LinkedHashMap<>();
+    private final Supplier<Optional<ByteBuffer>> sharedMemory;
+    private final Duration retention;
+    private IdTable ids;
+    private boolean isShared;
 
     /**
-     * Registers an id until its request has expired; returns false where it is registered already.
-     * When the table is full, the oldest entry is dropped: with deadlines of 20 s, 400 requests a
-     * second fill it, and none may be rejected for that.
+     * Creates an empty table of this process, until its memory can be shared.
+     *
+     * @param longestDeadline of any class
+     * @param sharedMemory of {@link IdTable#BYTES} bytes that other processes use too; empty where
+     *     there is none now
      */
-    boolean register(String id, Instant expiry) {
-        if (keptUntil.putIfAbsent(id, expiry.plus(RETENTION)) != null) {
-            return false;
-        }
-        if (keptUntil.size() > MAX_IDS) {
-            Iterator<String> oldest = keptUntil.keySet().iterator();
-            oldest.next();
-            oldest.remove();
+    TraceIds(Duration longestDeadline, Supplier<Optional<ByteBuffer>> sharedMemory) {
+        this.sharedMemory = sharedMemory;
+        Duration kept = longestDeadline.multipliedBy(DEADLINES_KEPT);
+        retention = kept.compareTo(MIN_RETENTION) > 0 ? kept : MIN_RETENTION;
+        ids = new IdTable(ByteBuffer.allocateDirect(IdTable.BYTES), retention.toNanos());
+        share();
+    }
+
+    /** Tries to share the table, if it is not shared yet. To be called periodically. */
+    void share() {
+        if (isShared) {
+            return;
         }
-        return true;
+        sharedMemory
+                .get()
+                .ifPresent(
+                        memory -> {
+                            IdTable shared = new IdTable(memory, retention.toNanos());
+                            shared.addAll(ids, System.nanoTime());
+                            ids = shared;
+                            isShared = true;
+                        });
+    }
+
+    /** Registers an id; returns false where it is registered already. */
+    boolean register(String id) {
+        return ids.add(hash(id), System.nanoTime());
     }
 
     /** Removes the id of a request that was sent to no node, so that it may be used again. */
     void release(String id) {
-        keptUntil.remove(id);
+        ids.remove(hash(id), System.nanoTime());
     }
 
-    /** Removes the ids whose time is over. */
-    void removeExpired() {
-        Instant now = MonotonicClock.now();
-        keptUntil.values().removeIf(end -> end.isBefore(now));
+    /** Spreads the hash over all bits, by the finalizer of MurmurHash3. */
+    private static long hash(String id) {
+        long hash = Fnv1a.hash(id);
+        hash = (hash ^ hash >>> 33) * 0xff51afd7ed558ccdL;
+        hash = (hash ^ hash >>> 33) * 0xc4ceb9fe1a85ec53L;
+        return hash ^ hash >>> 33;
     }
 }
