End the process when its heap is full or a thread it needs has died, whatever the log does

What callers saw: after 500 half heads nobody was answered, by a process that lived on; one log had a NoClassDefFoundError thrown from the handler of uncaught exceptions, the others nothing. Cause: ThreadDeath wrote the log before it ended the program, and the log needs classes that a full heap cannot load; and the I/O library catches an OutOfMemoryError in its tasks, so that no handler sees it. Change: ThreadDeath ends the program also where the log fails; run.sh starts the JVM with ExitOnOutOfMemoryError, which ends it with code 3.

--- a/deploy/run.sh
+++ b/deploy/run.sh
@@ -5,7 +5,8 @@
 # The heap is touched whole at the start, so that memory in use is level from then on. One malloc arena keeps the
 # request threads from holding one each. One compiler thread, as the JVM would start several on a machine of many
 # cores, each with memory of its own. No JMX, which nobody asks and the I/O library would start: there is no builder
-# of the name that is given for it. Shell builtins only, and no subshells: the platform's fleet refuses fork.
+# of the name that is given for it. A full heap ends the process (exit 3), whichever thread finds it full. Shell
+# builtins only, and no subshells: the platform's fleet refuses fork.
 config=${ROUTER_CONFIG:-deploy/config.example.json}
 memory=
 if [ ! -r "$config" ]; then
@@ -30,5 +31,5 @@
 exec java -Djavax.management.builder.initial=none \
   -XX:SharedArchiveFile=target/cypressglade.jsa -Xlog:cds=off -Xlog:cds+dynamic=off \
   -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -XX:CICompilerCount=1 -XX:-UsePerfData -XX:+AlwaysPreTouch \
-  -Xms${heap}m -Xmx${heap}m -Xss256k -XX:MaxDirectMemorySize=$((memory / 16))m \
+  -Xms${heap}m -Xmx${heap}m -Xss256k -XX:+ExitOnOutOfMemoryError -XX:MaxDirectMemorySize=$((memory / 16))m \
   -XX:ReservedCodeCacheSize=12m -XX:MaxMetaspaceSize=28m -jar target/cypressglade.jar serve "$@"
--- a/src/main/java/cypressglade/cli/ThreadDeath.java
+++ b/src/main/java/cypressglade/cli/ThreadDeath.java
@@ -4,7 +4,7 @@
 
 /**
  * Logs the thread that died of an error, and why. Where it was one that serves all requests the
- * program ends with it: it would go on taking requests and answer none.
+ * program ends with it, also where the log fails: it would go on taking requests and answer none.
  */
 final class ThreadDeath implements Thread.UncaughtExceptionHandler {
     private static final System.Logger LOG = System.getLogger(ThreadDeath.class.getName());
@@ -15,10 +15,13 @@
     @Override
     public void uncaughtException(Thread thread, Throwable why) {
         boolean needed = thread.getName().equals(ENGINE) || thread.getName().startsWith(IO_PREFIX);
-        String then = needed ? "; the program ends" : "";
-        LOG.log(Level.ERROR, "thread " + thread.getName() + " died" + then, why);
-        if (needed) {
-            Runtime.getRuntime().halt(DIED);
+        try {
+            String then = needed ? "; the program ends" : "";
+            LOG.log(Level.ERROR, "thread " + thread.getName() + " died" + then, why);
+        } finally {
+            if (needed) {
+                Runtime.getRuntime().halt(DIED);
+            }
         }
     }
 }
