Handle NBD commands in turns, and see a client's leave behind the commands that it sent ahead

What callers saw: a command of an NBD client that had left was sent to its node, where four or more were pending. Cause: Transmission stopped reading at four pending commands, so that the end of the connection was not seen, and nothing asked for it before an attempt. Change: up to 512 KB are read ahead while there is room in the budget that HTTP clients' input has too; an attempt asks first whether the client is there; four commands are handled in a turn of the queue that all clients share. The data of pending commands count as held. Left: a client that sends more than 512 KB ahead, or for whose input there is no room, is not seen to leave until its turn comes.

--- a/src/main/java/cypressglade/cli/Serve.java
+++ b/src/main/java/cypressglade/cli/Serve.java
@@ -257,7 +257,9 @@
                         directory,
                         counters,
                         pool,
-                        nbdNodes.get()));
+                        nbdNodes.get(),
+                        clients.inputBudget(),
+                        clients.turns()));
     }
 
     /**
--- a/src/main/java/cypressglade/http/ClientConnection.java
+++ b/src/main/java/cypressglade/http/ClientConnection.java
@@ -4,6 +4,7 @@
 import cypressglade.core.MonotonicClock;
 import cypressglade.net.ByteBudget;
 import cypressglade.net.Connection;
+import cypressglade.net.InputQueue;
 import cypressglade.net.TurnQueue;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
--- a/src/main/java/cypressglade/http/ClientListener.java
+++ b/src/main/java/cypressglade/http/ClientListener.java
@@ -138,6 +138,16 @@
                         new ConnectionCloser());
     }
 
+    /** The bytes that all clients' input may occupy, for fronts of other protocols too. */
+    public ByteBudget inputBudget() {
+        return inputBudget;
+    }
+
+    /** The turns of all clients, for fronts of other protocols too. */
+    public TurnQueue turns() {
+        return turns;
+    }
+
     /** Bytes of memory in which the ids of requests are shared with other processes. */
     public static int sharedIdBytes() {
         return IdTable.BYTES;
--- a/src/main/java/cypressglade/nbd/NbdListener.java
+++ b/src/main/java/cypressglade/nbd/NbdListener.java
@@ -10,9 +10,11 @@
 import cypressglade.core.Responder;
 import cypressglade.core.Scheduler.Settings;
 import cypressglade.nbd.NbdConfig.Export;
+import cypressglade.net.ByteBudget;
 import cypressglade.net.Connection;
 import cypressglade.net.EventLoop;
 import cypressglade.net.ListeningSocket;
+import cypressglade.net.TurnQueue;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
@@ -36,6 +38,8 @@
     private final Counters counters;
     private final RequestPool pool;
     private final NodeLink<NodeCommand> link;
+    private final ByteBudget inputBudget;
+    private final TurnQueue turns;
     private final ListeningSocket listening;
     private final Set<Connection> clients = new HashSet<>();
     private volatile boolean refusingHandshakes;
@@ -54,6 +58,8 @@
     /**
      * Starts to accept clients on the configured address.
      *
+     * @param inputBudget the bytes that the input of all clients may occupy
+     * @param turns in which the clients' commands are handled
      * @throws IOException if the address cannot be bound
      */
     public NbdListener(
@@ -64,7 +70,9 @@
             NodeDirectory directory,
             Counters counters,
             RequestPool pool,
-            NbdNodeLink link)
+            NbdNodeLink link,
+            ByteBudget inputBudget,
+            TurnQueue turns)
             throws IOException {
         this.loop = loop;
         this.configuration = new Configuration(config, settings);
@@ -73,6 +81,8 @@
         this.counters = counters;
         this.pool = pool;
         this.link = link;
+        this.inputBudget = inputBudget;
+        this.turns = turns;
         listening = loop.listen(config.listen(), this::accept);
     }
 
@@ -148,6 +158,14 @@
         return configuration;
     }
 
+    ByteBudget inputBudget() {
+        return inputBudget;
+    }
+
+    TurnQueue turns() {
+        return turns;
+    }
+
     NodeLink<NodeCommand> link() {
         return link;
     }
--- a/src/main/java/cypressglade/nbd/Transmission.java
+++ b/src/main/java/cypressglade/nbd/Transmission.java
@@ -11,7 +11,9 @@
 import cypressglade.core.Scheduler.RequestRules;
 import cypressglade.nbd.NbdConfig.Export;
 import cypressglade.nbd.NbdListener.Configuration;
+import cypressglade.net.ByteBudget;
 import cypressglade.net.Connection;
+import cypressglade.net.InputQueue;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.time.Duration;
@@ -26,7 +28,8 @@
 
 /**
  * The transmission phase of one client on one export; each command gets exactly one reply. Runs on
- * the I/O thread.
+ * the I/O thread. Commands are handled a few in a turn. Input goes on being read while as many are
+ * pending as may be, up to a bound, since a client's leave shows behind its input only.
  */
 final class Transmission implements Connection.Listener {
     /**
@@ -38,6 +41,11 @@
     // A write with more data to skip breaks the connection.
     private static final long MAX_SKIPPED_BYTES = 64L << 20;
     private static final int MAX_PENDING_COMMANDS = 4;
+    private static final int MAX_COMMANDS_A_TURN = 4;
+
+    /** Bytes of further commands that are read while others are pending. */
+    private static final int MAX_READ_AHEAD_BYTES = 512 * 1024;
+
     private static final int MAX_UNSENT_BYTES = 2 * MAX_LENGTH_BYTES;
     private static final int BLOCK_BYTES = 4096;
     private static final long KEY_MULTIPLIER = 0x9e3779b97f4a7c15L; // spreads block numbers
@@ -51,9 +59,14 @@
     private final SectionReader sections = new SectionReader();
     private final Set<RequestTask<NodeCommand>> tasks = new HashSet<>();
     private final Set<WrittenNode> writtenNodes = new HashSet<>();
-    private ByteBuffer unread = ByteBuffer.allocate(0);
+    private final InputQueue unread = new InputQueue();
+    private final ByteBudget.Account account;
     private int pendingCommands;
+    private long pendingBytes; // of the data of pending commands
+    private int commandsInTurn;
+    private boolean isTurnQueued;
     private boolean isClosing;
+    private boolean hasLeft;
 
     /** A node that may have received a write of this client. */
     private record WrittenNode(int shard, long node) {}
@@ -63,21 +76,64 @@
         this.connection = connection;
         this.export = export;
         this.structured = structured;
+        account = listener.inputBudget().open();
         sections.expect(NbdProtocol.REQUEST_HEADER_BYTES, this::handleRequest);
     }
 
     @Override
     public void received(ByteBuffer in) throws IOException {
+        if (unread.isEmpty()) {
+            feed(in);
+        }
+        unread.append(in);
+        updateReading();
+    }
+
+    /** Handles input until this turn is over, or as many commands are pending as may be. */
+    private void feed(ByteBuffer in) throws IOException {
         sections.feed(in);
-        if (sections.isPaused() && !isClosing) {
+        if (sections.isPaused() && mayTakeCommands() && !isTurnQueued) {
+            isTurnQueued = true;
+            listener.turns().add(this::takeTurn);
+        }
+    }
+
+    private void takeTurn() {
+        isTurnQueued = false;
+        commandsInTurn = 0;
+        readFurtherCommands();
+    }
+
+    /**
+     * Reads on where nothing waits to be handled. Where something does, reads as much further as
+     * there is room for.
+     */
+    private void updateReading() {
+        unread.trim();
+        account.set(isClosing ? 0 : unread.capacity() + pendingBytes);
+        if (!connection.isOpen()) {
+            return;
+        }
+        boolean hasRoom = unread.size() < MAX_READ_AHEAD_BYTES && !listener.inputBudget().isShort();
+        if (unread.isEmpty() || hasRoom) {
+            connection.readInto(this);
+        } else {
             connection.pauseReading();
-            unread = ByteBuffer.allocate(in.remaining()).put(in).flip();
         }
     }
 
+    /** Reads what has arrived, and tells whether the client has not left as far as that shows. */
+    private boolean isClientConnected() {
+        connection.readNow();
+        return connection.isOpen() && !hasLeft;
+    }
+
     @Override
     public void ended() {
         isClosing = true;
+        hasLeft = true;
+        unread.clear();
+        account.set(0);
         tasks.forEach(RequestTask::clientDisconnected);
         listener.removeClient(connection);
     }
@@ -87,30 +143,34 @@
         readFurtherCommands();
     }
 
-    /**
-     * Reads further commands, unless too many are pending or the client does not read its replies.
-     */
+    /** Handles the input that waits, unless its turn is still to come or none may be handled. */
     private void readFurtherCommands() {
-        if (isClosing
-                || !sections.isPaused()
-                || pendingCommands >= MAX_PENDING_COMMANDS
-                || connection.unsentBytes() > MAX_UNSENT_BYTES) {
-            return;
-        }
-        sections.resume();
-        ByteBuffer buffered = unread;
-        unread = ByteBuffer.allocate(0);
-        try {
-            received(buffered);
-            if (!sections.isPaused() && !isClosing) {
-                connection.readInto(this);
+        if (!isClosing && !isTurnQueued && sections.isPaused() && mayTakeCommands()) {
+            sections.resume();
+            try {
+                feed(unread.buffer());
+            } catch (IOException invalid) {
+                ended();
+                connection.close();
             }
-        } catch (IOException invalid) {
-            ended();
-            connection.close();
+        }
+        if (!isClosing) {
+            updateReading();
         }
     }
 
+    /**
+     * Whether a further command may be handled: not where too many are pending, the client does not
+     * read its replies, or the input of all clients takes too much.
+     */
+    private boolean mayTakeCommands() {
+        boolean hasRoom = pendingCommands == 0 || !listener.inputBudget().isExceeded();
+        return !isClosing
+                && hasRoom
+                && pendingCommands < MAX_PENDING_COMMANDS
+                && connection.unsentBytes() <= MAX_UNSENT_BYTES;
+    }
+
     private void handleRequest(ByteBuffer section) throws IOException {
         if (section.getInt() != NbdProtocol.REQUEST_MAGIC) {
             throw new IOException("not an NBD request: wrong magic number");
@@ -128,6 +188,7 @@
             return;
         }
         pendingCommands++;
+        commandsInTurn++;
         int error = command.validate(flags);
         if (type == NbdProtocol.CMD_WRITE && error != 0) {
             long carried = Integer.toUnsignedLong(command.length);
@@ -155,13 +216,14 @@
     }
 
     private void pauseIfFull() {
-        if (pendingCommands >= MAX_PENDING_COMMANDS
-                || connection.unsentBytes() > MAX_UNSENT_BYTES) {
+        if (commandsInTurn >= MAX_COMMANDS_A_TURN || !mayTakeCommands()) {
             sections.pause();
         }
     }
 
     private void disconnect() {
+        unread.clear();
+        account.set(0);
         listener.removeClient(connection);
         connection.closeWhenSent();
     }
@@ -180,6 +242,7 @@
         private final Instant expiry;
         private byte[] data = {};
         private int pendingParts;
+        private int heldBytes;
         private int error;
 
         Command(int type, long cookie, long offset, int length) {
@@ -259,6 +322,8 @@
                 }
             }
             pendingParts = parts.size();
+            heldBytes = data.length;
+            pendingBytes += heldBytes;
             parts.forEach(Runnable::run);
             if (parts.isEmpty()) {
                 sendReply(0);
@@ -306,6 +371,7 @@
 
         void sendReply(int errorValue) {
             pendingCommands--;
+            pendingBytes -= heldBytes;
             boolean read = type == NbdProtocol.CMD_READ;
             byte[] body = read && errorValue == 0 ? data : new byte[0];
             connection.send(
@@ -362,6 +428,11 @@
             this.nodeCommand = nodeCommand;
         }
 
+        @Override
+        public boolean isClientConnected() {
+            return Transmission.this.isClientConnected();
+        }
+
         @Override
         public void serve(byte[] answer) {
             listener.execute(
--- a/src/main/java/cypressglade/http/InputQueue.java
+++ b/src/main/java/cypressglade/net/InputQueue.java
@@ -1,15 +1,15 @@
-package cypressglade.http;
+package cypressglade.net;
 
 import java.nio.ByteBuffer;
 
 /** Input that was read and not handled yet, in its order. Not safe for use by several threads. */
-final class InputQueue {
+public final class InputQueue {
     private static final ByteBuffer NONE = ByteBuffer.allocate(0);
 
     private ByteBuffer bytes = NONE; // ready to be read
 
     /** Adds the remaining bytes of a buffer at the end. */
-    void append(ByteBuffer in) {
+    public void append(ByteBuffer in) {
         if (!in.hasRemaining()) {
             return;
         }
@@ -29,33 +29,33 @@
     }
 
     /** The bytes to handle next; what is read from the buffer is removed. */
-    ByteBuffer buffer() {
+    public ByteBuffer buffer() {
         return bytes;
     }
 
-    boolean isEmpty() {
+    public boolean isEmpty() {
         return !bytes.hasRemaining();
     }
 
     /** How many bytes wait to be handled. */
-    int size() {
+    public int size() {
         return bytes.remaining();
     }
 
     /** Frees the memory where all bytes were handled. */
-    void trim() {
+    public void trim() {
         if (isEmpty()) {
             bytes = NONE;
         }
     }
 
     /** Removes all bytes. */
-    void clear() {
+    public void clear() {
         bytes = NONE;
     }
 
     /** Bytes of heap that are allocated. */
-    int capacity() {
+    public int capacity() {
         return bytes.capacity();
     }
 }
--- a/src/test/java/cypressglade/nbd/NbdFrontTest.java
+++ b/src/test/java/cypressglade/nbd/NbdFrontTest.java
@@ -14,6 +14,7 @@
 import java.io.DataOutputStream;
 import java.io.EOFException;
 import java.io.IOException;
+import java.io.OutputStream;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -27,6 +28,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.UnaryOperator;
 import java.util.stream.IntStream;
 import org.assertj.core.api.Assertions;
@@ -42,6 +44,7 @@
 class NbdFrontTest {
     private static final int SIZE = 1 << 20;
     private static final int HALF = SIZE / 2;
+    private static final int UNKNOWN_COMMAND = 99;
     private static final int WRITE = NbdProtocol.CMD_WRITE;
 
     private final NbdPeer first = new NbdPeer(SIZE, true);
@@ -404,6 +407,78 @@
         assertThat(first.commands).hasSize(1);
     }
 
+    /**
+     * Guards against sending a command after its client disconnected behind as many commands as may
+     * be pending.
+     */
+    @Test
+    void clientDisconnectBehindPendingCommandsSendsNothing() throws Exception {
+        int commands = 6;
+        try (Client known = new Client().go("disk", true);
+                Client client = new Client().go("disk", true)) {
+            assertThat(known.command(NbdProtocol.CMD_READ, 0, 512)).isZero();
+            first.commands.clear();
+            first.beforeGo =
+                    () -> {
+                        client.socket.close();
+                        // by the time of this answer the disconnect has been read, if it is
+                        site.ask(Site.request("GET", "/healthz", "", ""));
+                    };
+            for (int i = 0; i < commands; i++) {
+                client.header(NbdProtocol.CMD_READ, HALF - 512, 512);
+            }
+            client.out.flush();
+            Site.await(
+                    () ->
+                            site.serve.counters().get(Counters.Name.ENDED_MOOT)
+                                            + site.serve
+                                                    .counters()
+                                                    .get(Counters.Name.ENDED_CONNECT_FAILED)
+                                    >= 3);
+        }
+        assertThat(first.commands)
+                .as("but the one on the connection that was open")
+                .hasSizeLessThan(2);
+    }
+
+    /** Guards against one client's commands that keep the others from their turn. */
+    @Test
+    void othersAreServedBesideCommandsAtFullSpeed() throws Exception {
+        AtomicBoolean over = new AtomicBoolean();
+        CompletableFuture<Void> flood =
+                CompletableFuture.runAsync(
+                        () -> {
+                            try (Client client = new Client().go("disk", true)) {
+                                CompletableFuture.runAsync(() -> discardInput(client));
+                                while (!over.get()) {
+                                    client.header(UNKNOWN_COMMAND, 0, 0);
+                                }
+                            } catch (IOException closed) {
+                                // it is over
+                            }
+                        });
+        try (Client client = new Client().go("disk", true)) {
+            for (int i = 0; i < 300; i++) {
+                long sent = System.nanoTime();
+                assertThat(client.command(NbdProtocol.CMD_READ, HALF, 512)).isZero();
+                assertThat(System.nanoTime() - sent)
+                        .as("within the deadline of its class")
+                        .isLessThan(1_000_000_000L);
+            }
+        } finally {
+            over.set(true);
+        }
+        flood.get(5, TimeUnit.SECONDS);
+    }
+
+    private static void discardInput(Client client) {
+        try {
+            client.in.transferTo(OutputStream.nullOutputStream());
+        } catch (IOException closed) {
+            // by who opened it
+        }
+    }
+
     @Test
     void stoppingSchedulerRejectsHandshakesThenCommands() throws Exception {
         try (Client client = new Client().go("disk", true)) {
