--- a/src/main/java/cypressglade/net/InputQueue.java
+++ b/src/main/java/cypressglade/net/InputQueue.java
@@ -33,6 +33,7 @@
         return bytes;
     }
 
+    /** Whether no bytes wait to be handled. */
     public boolean isEmpty() {
         return !bytes.hasRemaining();
     }
