Keep a write that a stop has ended in flight as uncertain, over the restart too

Cause: Engine.attemptEnded took a request that ended without being served for one that had not run, whatever its attempts had done. Change: it is recorded as uncertain where an attempt may have run. Measured: writeThatIsInFlightAtAStopIsSentOnceAcrossTheRestart failed before and passes; 103 tests of the classes touched passed.

--- a/src/main/java/cypressglade/core/Engine.java
+++ b/src/main/java/cypressglade/core/Engine.java
@@ -385,7 +385,8 @@
                             stormFilter.ifPresent(
                                     filter -> filter.served(task, MonotonicClock.now()));
                         } else {
-                            stormFilter.ifPresent(filter -> filter.recordNeverRan(task));
+                            stormFilter.ifPresent(
+                                    filter -> filter.recordUnserved(task, MonotonicClock.now()));
                         }
                     }
                     scheduler.handleOutcome(
--- a/src/main/java/cypressglade/core/RetryStormFilter.java
+++ b/src/main/java/cypressglade/core/RetryStormFilter.java
@@ -123,8 +123,12 @@
         }
     }
 
-    /** The attempt that was in flight when the client disconnected has ended without running. */
-    void recordNeverRan(RequestTask<?> task) {
+    /**
+     * Records how a request ended whose last attempt did not serve it: as uncertain if it may have
+     * run, and as certain again if no attempt has run.
+     */
+    void recordUnserved(RequestTask<?> task, Instant now) {
+        recordIfUncertain(task, false, now);
         if (task.stormRequest != null && !task.mayHaveRun) {
             admission.uncertainWrites().remove(task.stormRequest);
         }
--- a/src/test/java/cypressglade/http/StormFrontTest.java
+++ b/src/test/java/cypressglade/http/StormFrontTest.java
@@ -152,6 +152,26 @@
         }
     }
 
+    /** Guards against forgetting a write that a stop has ended while it was in flight. */
+    @Test
+    void writeThatIsInFlightAtAStopIsSentOnceAcrossTheRestart() throws Exception {
+        Path directory = Files.createDirectory(folder.resolve("state"));
+        UnaryOperator<String> longDeadline =
+                text -> text.replace("\"deadlineUs\":700000", "\"deadlineUs\":9000000");
+        try (Site site = site(Optional.of(directory), longDeadline);
+                Socket client = site.connect()) {
+            client.getOutputStream()
+                    .write(write(WRITE, 8000, "").getBytes(StandardCharsets.US_ASCII));
+            assertThat(node.requests.poll(5, TimeUnit.SECONDS)).isNotNull();
+            site.drain().get(10, TimeUnit.SECONDS);
+            assertThat(Message.read(new DataInputStream(client.getInputStream())).status())
+                    .isEqualTo(502);
+        }
+        try (Site site = site(Optional.of(directory), longDeadline)) {
+            assertRetryIsNotSent(site, "after a stop that ended it");
+        }
+    }
+
     /** Guards against a write running twice because its class has another index since a reload. */
     @Test
     void uncertainWriteIsSentOnceWhenAReloadMovesItsClass() throws Exception {
