--- a/src/main/java/cypressglade/http/ClientListener.java
+++ b/src/main/java/cypressglade/http/ClientListener.java
@@ -58,6 +58,9 @@
     /** Time after which a connection that never had a request may be closed to make room. */
     private static final Duration MIN_SILENT_TIME = Duration.ofMillis(100);
 
+    /** Time after which a response that is not read may be cut off to make room. */
+    private static final Duration MIN_UNREAD_TIME = Duration.ofSeconds(1);
+
     /** Interval at which the lateness of the I/O thread is measured. */
     private static final Duration LATENESS_INTERVAL = Duration.ofMillis(20);
 
@@ -362,12 +365,13 @@
     private void sweep() {
         makeRoomForClients();
         handler.retryShare();
+        makeRoomForOutput();
         requestPool.expireOverdue(MonotonicClock.now());
         Instant idleSince = MonotonicClock.now().minus(IDLE_TIMEOUT);
         Instant writingSince = MonotonicClock.now().minus(WRITE_TIMEOUT);
         List.copyOf(clients).stream()
                 .filter(client -> client.unsentBytes() > 0)
-                .filter(client -> client.connection().lastWritten().isBefore(writingSince))
+                .filter(client -> lastWritten(client).isBefore(writingSince))
                 .forEach(client -> cutOff(client, "its answer was not read in time"));
         List.copyOf(clients).stream()
                 .filter(client -> client.since().isBefore(idleSince))
@@ -475,13 +479,15 @@
         }
     }
 
-    /** Cuts off answers that are not read, the longest unread first. */
+    /** Cuts off answers that have not been read for a while, the longest unread first. */
     private void makeRoomForOutput() {
+        Instant unreadSince = MonotonicClock.now().minus(MIN_UNREAD_TIME);
         while (outputBudget.isExceeded()) {
             Optional<ClientConnection> slowest =
                     clients.stream()
                             .filter(client -> client.unsentBytes() > 0)
-                            .min(Comparator.comparing(client -> client.connection().lastWritten()));
+                            .min(Comparator.comparing(ClientListener::lastWritten))
+                            .filter(client -> lastWritten(client).isBefore(unreadSince));
             if (slowest.isEmpty()) {
                 return;
             }
@@ -490,6 +496,10 @@
         }
     }
 
+    private static Instant lastWritten(ClientConnection client) {
+        return client.connection().lastWritten();
+    }
+
     /** What the requests' handler decides on connections. */
     private final class ConnectionCloser implements RequestHandler.Connections {
         private boolean isMakingRoom;
@@ -515,6 +525,11 @@
             ClientListener.this.forget(client);
         }
 
+        @Override
+        public boolean hasAnswerRoom(int bytes) {
+            return outputBudget.hasRoomFor(bytes);
+        }
+
         @Override
         public void makeRoom() {
             if (!isMakingRoom) { // answers that are written meanwhile change what is held
--- a/src/main/java/cypressglade/http/ClientRequest.java
+++ b/src/main/java/cypressglade/http/ClientRequest.java
@@ -88,7 +88,14 @@
 
     @Override
     public void serve(byte[] body) {
-        handler.execute(() -> answer(HttpStatus.OK, "", body));
+        handler.execute(
+                () -> {
+                    if (handler.makeAnswerRoom(this, body.length)) {
+                        answer(HttpStatus.OK, "", body);
+                    } else {
+                        answer(HttpStatus.BAD_GATEWAY, "", EMPTY);
+                    }
+                });
     }
 
     @Override
--- a/src/main/java/cypressglade/http/NodeClient.java
+++ b/src/main/java/cypressglade/http/NodeClient.java
@@ -34,6 +34,9 @@
      */
     private static final int MAX_HELD_BYTES = 64 * 1024;
 
+    /** Bytes of one read of an answer that is held back: what all of them hold grows by little. */
+    private static final int HELD_READ_BYTES = 4 * 1024;
+
     /** Time without input after which another attempt may begin beside that of an answer. */
     private static final Duration STALL_TIME = Duration.ofMillis(200);
 
@@ -132,6 +135,11 @@
             return isProbe ? Optional.empty() : Optional.of(STALL_TIME);
         }
 
+        @Override
+        protected int readLimit() {
+            return HELD_READ_BYTES;
+        }
+
         @Override
         protected boolean mustPassOn() {
             return isServable()
--- a/src/main/java/cypressglade/http/RequestHandler.java
+++ b/src/main/java/cypressglade/http/RequestHandler.java
@@ -31,6 +31,7 @@
     /** Time for a request body to arrive, counted from {@link ClientConnection#since}. */
     private static final Duration RECEIVE_TIMEOUT = Duration.ofSeconds(2);
 
+    private static final int SMALL_ANSWER_BYTES = 4 * 1024;
     private static final byte[] EMPTY = {};
 
     private final EventLoop loop;
@@ -62,8 +63,11 @@
         /** Forgets a connection that its client has closed. */
         void forget(ClientConnection client);
 
-        /** Closes connections until what all of them hold is within the bounds. */
+        /** Closes connections until what all of them hold is within the bounds, if may be. */
         void makeRoom();
+
+        /** Whether all connections may hold this many bytes more of answers. */
+        boolean hasAnswerRoom(int bytes);
     }
 
     RequestHandler(
@@ -124,6 +128,25 @@
         return connections.closesAfterAnswer();
     }
 
+    /**
+     * Makes room for an answer; returns whether it may be written. A small one always may, as most
+     * sockets take it at once.
+     */
+    boolean makeAnswerRoom(ClientRequest request, int bytes) {
+        if (bytes <= SMALL_ANSWER_BYTES || connections.hasAnswerRoom(bytes)) {
+            return true;
+        }
+        connections.makeRoom();
+        if (connections.hasAnswerRoom(bytes)) {
+            return true;
+        }
+        requestLog.record(
+                request.requestId(),
+                RequestLog.Event.FAILED,
+                "no room for its answer of " + bytes + " bytes");
+        return false;
+    }
+
     /** Lets the id of a request that was sent to no node be used again. */
     void forgetId(ClientRequest request) {
         traceIds.release(request.requestId());
--- a/src/main/java/cypressglade/net/NodePool.java
+++ b/src/main/java/cypressglade/net/NodePool.java
@@ -304,6 +304,11 @@
             return Optional.empty();
         }
 
+        /** Bytes of one read of an answer that is not passed on yet. */
+        protected int readLimit() {
+            return EventLoop.INPUT_BUFFER_BYTES;
+        }
+
         /** Whether what has arrived of an answer must not be held back any longer. */
         protected boolean mustPassOn() {
             return false;
@@ -454,7 +459,7 @@
             Duration left = MonotonicClock.until(deadline);
             requestStarted = true;
             setTimer(left, Status.TIMEOUT);
-            connection.setReadLimit(EventLoop.INPUT_BUFFER_BYTES);
+            connection.setReadLimit(readLimit());
             connection.readInto(this);
             connection.send(message(left));
         }
--- a/src/test/java/cypressglade/process/CrowdIT.java
+++ b/src/test/java/cypressglade/process/CrowdIT.java
@@ -8,6 +8,7 @@
 import java.nio.file.Path;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -20,6 +21,7 @@
     private static final int WAIT_MS = 1500;
     private static final int FIELDS = 1600;
     private static final int HALF_BODY_BYTES = 60_000;
+    private static final int PIPELINED = 200;
     private static final int LONG_ANSWER_BYTES = 1_500_000;
 
     @TempDir Path folder;
@@ -31,6 +33,7 @@
         HEADS_OF_LONG_FIELDS,
         HALF_BODIES,
         CHUNKED_HALF_BODIES,
+        PIPELINED_REQUESTS,
         UNREAD_LONG_ANSWERS;
 
         String text() {
@@ -45,6 +48,10 @@
                 case CHUNKED_HALF_BODIES ->
                         head("Transfer-Encoding: chunked")
                                 + "1\r\nb\r\n".repeat(HALF_BODY_BYTES / 6);
+                case PIPELINED_REQUESTS ->
+                        IntStream.range(0, PIPELINED)
+                                .mapToObj(i -> keyed(SmallSite.read(WAIT_MS)))
+                                .collect(Collectors.joining());
                 case UNREAD_LONG_ANSWERS -> SmallSite.read(WAIT_MS);
             };
         }
@@ -109,13 +116,16 @@
         }
     }
 
+    /** A read that is answered by little. */
+    private static String keyed(String read) {
+        return read.trim() + "\r\nIdempotency-Key: k\r\n\r\n";
+    }
+
     private static int countServed(SmallSite site) {
         int served = 0;
-        String keyed = "Idempotency-Key: k\r\n\r\n";
         for (int i = 0; i < ASKED; i++) {
             try {
-                String request = SmallSite.read(WAIT_MS).replaceFirst("\r\n\r\n$", "\r\n" + keyed);
-                served += site.ask(request).status() == 200 ? 1 : 0;
+                served += site.ask(keyed(SmallSite.read(WAIT_MS))).status() == 200 ? 1 : 0;
             } catch (IOException notServed) {
                 return served;
             }
