Log late answers, and the ids of answers that are cut off or break off

Change: an answer 100 ms or more after its request's time is counted (answered_late) and logged as late, with its id; an answer that is cut off, or breaks off while it is passed on, is logged with the id of its request.

--- a/src/main/java/cypressglade/core/Counters.java
+++ b/src/main/java/cypressglade/core/Counters.java
@@ -30,6 +30,8 @@
         ANSWERED_FAILED,
         /** Requests failed because the scheduling policy gave no order by their deadline. */
         ANSWERED_BY_DEADLINE,
+        /** Requests answered, in whatever way, 100 ms or more after their time. */
+        ANSWERED_LATE,
         /** Attempts handed to a link. */
         SENT,
         /** Attempts that ended with {@link Scheduler.Status#OK}; the next seven likewise. */
--- a/src/main/java/cypressglade/core/RequestLog.java
+++ b/src/main/java/cypressglade/core/RequestLog.java
@@ -36,6 +36,8 @@
         RETRIED,
         /** The request failed because the scheduling policy gave no order by its deadline. */
         BY_DEADLINE,
+        /** The request was answered after its client's time. */
+        LATE,
         /** The request could not be parsed. */
         MALFORMED,
         /** The client disconnected before its answer. */
@@ -49,7 +51,7 @@
 
         /** Whether the client may not have got the answer that it was owed. */
         boolean isUnexpected() {
-            return this == BY_DEADLINE || this == CUT_OFF || this == STOPPED;
+            return this == BY_DEADLINE || this == LATE || this == CUT_OFF || this == STOPPED;
         }
     }
 
--- a/src/main/java/cypressglade/http/ClientConnection.java
+++ b/src/main/java/cypressglade/http/ClientConnection.java
@@ -2,6 +2,7 @@
 
 import cypressglade.core.AnswerStream;
 import cypressglade.core.MonotonicClock;
+import cypressglade.core.RequestLog;
 import cypressglade.net.ByteBudget;
 import cypressglade.net.Connection;
 import cypressglade.net.InputQueue;
@@ -48,6 +49,7 @@
     private Instant since = MonotonicClock.now();
     private Optional<ClientRequest> request = Optional.empty();
     private Optional<AnswerStream> stream = Optional.empty();
+    private String requestId = RequestLog.NO_ID;
     private BodyDecoder bodyDecoder;
     private int openBodyBytes;
     private boolean wasAnswered;
@@ -151,6 +153,11 @@
         return request;
     }
 
+    /** The id of the request that was taken last, for the log. */
+    String requestId() {
+        return requestId;
+    }
+
     /** Whether no request is arriving or open and no response is being written. */
     boolean isIdle() {
         return phase == Phase.IDLE && pending.isEmpty();
@@ -302,6 +309,7 @@
     void expectBody(ClientRequest next, BodyDecoder body) {
         phase = Phase.BODY;
         request = Optional.of(next);
+        requestId = next.requestId();
         bodyDecoder = body;
         isBodyAwaited = false;
         if (body.isComplete()) {
--- a/src/main/java/cypressglade/http/ClientListener.java
+++ b/src/main/java/cypressglade/http/ClientListener.java
@@ -444,7 +444,7 @@
     }
 
     private void cutOff(ClientConnection client, String why) {
-        requestLog.record(RequestLog.NO_ID, RequestLog.Event.CUT_OFF, why);
+        requestLog.record(client.requestId(), RequestLog.Event.CUT_OFF, why);
         client.connection().abort();
         forget(client);
     }
--- a/src/main/java/cypressglade/http/ClientRequest.java
+++ b/src/main/java/cypressglade/http/ClientRequest.java
@@ -103,6 +103,7 @@
         handler.execute(
                 () -> {
                     if (isOpen()) {
+                        handler.noteAnswer(this);
                         client.respond(start, rest, handler.closesAfterAnswer());
                     } else {
                         rest.cancel();
@@ -126,6 +127,7 @@
 
     private void answer(HttpStatus status, String fields, byte[] body) {
         if (isOpen()) {
+            handler.noteAnswer(this);
             client.respond(status, fields, body, handler.closesAfterAnswer());
         }
     }
--- a/src/main/java/cypressglade/http/RequestHandler.java
+++ b/src/main/java/cypressglade/http/RequestHandler.java
@@ -31,6 +31,9 @@
     /** Time for a request body to arrive, counted from {@link ClientConnection#since}. */
     private static final Duration RECEIVE_TIMEOUT = Duration.ofSeconds(2);
 
+    /** An answer that comes this long after its request's time is late for its client too. */
+    private static final Duration LATE = Duration.ofMillis(100);
+
     private static final int SMALL_ANSWER_BYTES = 4 * 1024;
     private static final byte[] EMPTY = {};
 
@@ -128,6 +131,18 @@
         return connections.closesAfterAnswer();
     }
 
+    /** Notes an answer that comes so late that its request may count as lost. */
+    void noteAnswer(ClientRequest request) {
+        Duration late = Duration.between(request.ioRequest().expiry(), MonotonicClock.now());
+        if (late.compareTo(LATE) > 0) {
+            counters.add(Name.ANSWERED_LATE);
+            requestLog.record(
+                    request.requestId(),
+                    RequestLog.Event.LATE,
+                    "answered " + late.toMillis() + " ms after its time");
+        }
+    }
+
     /**
      * Makes room for an answer; returns whether it may be written. A small one always may, as most
      * sockets take it at once.
@@ -336,7 +351,7 @@
     @Override
     public void handleLeave(ClientConnection client, ClientConnection.Phase left) {
         Optional<ClientRequest> request = client.request();
-        String id = request.map(ClientRequest::requestId).orElse(RequestLog.NO_ID);
+        String id = client.requestId();
         if (left == ClientConnection.Phase.BODY) {
             request.ifPresent(this::endReceipt);
             counters.add(Name.MALFORMED);
@@ -355,7 +370,7 @@
     public void handleBrokenAnswer(ClientConnection client) {
         counters.add(Name.STREAMS_BROKEN);
         requestLog.record(
-                RequestLog.NO_ID,
+                client.requestId(),
                 RequestLog.Event.FAILED,
                 "its node's answer broke off while it was passed on");
         connections.abort(client);
