Let a stand-in that is closed take no further connection

Seen: ServeTest.refusedNodeConnectionIsAnsweredAtOnceWithRetryAfter once, in a run of its class beside other tests: not 503. Cause: traced by 400 repetitions: the closed stand-in itself answered 200. Change: StandIn.close waits for its accepting thread to end before it breaks what is open.

--- a/src/test/java/cypressglade/standin/StandIn.java
+++ b/src/test/java/cypressglade/standin/StandIn.java
@@ -19,6 +19,7 @@
 public abstract class StandIn implements AutoCloseable {
     public final AtomicInteger connections = new AtomicInteger();
     private final ServerSocket server;
+    private final Thread accepter;
     private final Queue<Socket> sockets = new ConcurrentLinkedQueue<>();
 
     /** Thrown by what it speaks, to end a connection as a dying process does. */
@@ -32,7 +33,7 @@
         } catch (IOException failed) {
             throw new java.io.UncheckedIOException(failed);
         }
-        Thread accepter = new Thread(this::accept, "stand-in");
+        accepter = new Thread(this::accept, "stand-in");
         accepter.setDaemon(true);
         accepter.start();
     }
@@ -88,6 +89,11 @@
     @Override
     public void close() throws IOException {
         server.close();
+        try {
+            accepter.join(); // an accept that is under way takes one connection more
+        } catch (InterruptedException cut) {
+            Thread.currentThread().interrupt();
+        }
         breakAll();
     }
 }
