Read nothing from a client during its answer, as it may have ended its side

A client that has left shows as the response cannot be written. Change: ClientConnection reads in the phases in which a leave matters only; what comes during a response waits in the socket. Measured: clientThatEndsItsSideDuringItsAnswerGetsTheRest failed before (1 of 1) and passes; the classes touched passed.

--- a/src/main/java/cypressglade/http/ClientConnection.java
+++ b/src/main/java/cypressglade/http/ClientConnection.java
@@ -284,18 +284,27 @@
 
     private void updateReading() {
         connection.setReadLimit(inputBudget.isShort() ? SHORT_READ_BYTES : READ_BYTES);
-        boolean mayPend =
-                pending.isEmpty()
-                        || !canHandle()
-                                && pending.size() < MAX_PIPELINED_BYTES
-                                && !inputBudget.isExceeded();
-        if (mayPend) {
+        if (mayRead()) {
             connection.readInto(this);
         } else {
             connection.pauseReading();
         }
     }
 
+    /**
+     * Whether to read on. Not during a response: a client may end its side once it has said all,
+     * and one that has left shows as its response cannot be written.
+     */
+    private boolean mayRead() {
+        return switch (phase) {
+            case IDLE, HEAD, BODY -> pending.isEmpty();
+            case OPEN ->
+                    pending.isEmpty()
+                            || pending.size() < MAX_PIPELINED_BYTES && !inputBudget.isExceeded();
+            case WRITING, CLOSED -> false;
+        };
+    }
+
     /** Reads what has arrived, and tells whether the client is there. */
     Presence checkPresence() {
         boolean isAllRead = connection.readNow();
@@ -377,6 +386,7 @@
         closesAfterAnswer |= close;
         phase = Phase.WRITING;
         since = MonotonicClock.now();
+        connection.pauseReading();
     }
 
     private ByteBuffer encodeHead(HttpStatus status, String fields) {
--- a/src/test/java/cypressglade/http/ServeTest.java
+++ b/src/test/java/cypressglade/http/ServeTest.java
@@ -671,6 +671,33 @@
         };
     }
 
+    /** Guards against taking a client for gone that has said all and still reads its answer. */
+    @Test
+    void clientThatEndsItsSideDuringItsAnswerGetsTheRest() throws Exception {
+        String body = "x".repeat(300_000);
+        CountDownLatch rest = new CountDownLatch(1);
+        node.script(
+                (request, out) -> {
+                    HttpPeer.write(
+                            out,
+                            "HTTP/1.1 200 OK\r\nContent-Length: 300000\r\n\r\n"
+                                    + body.substring(0, 100_000));
+                    rest.await(5, TimeUnit.SECONDS);
+                    HttpPeer.write(out, body.substring(100_000));
+                });
+        try (Socket client = site.connect()) {
+            send(client, Site.request("GET", READ, HEADERS, ""));
+            DataInputStream in = new DataInputStream(client.getInputStream());
+            String head = Message.readLine(in);
+            assertThat(head).isEqualTo("HTTP/1.1 200 OK");
+            client.shutdownOutput();
+            Thread.sleep(50); // for the end of its side to arrive
+            rest.countDown();
+            String answer = new String(in.readAllBytes(), StandardCharsets.ISO_8859_1);
+            assertThat(answer).endsWith("\r\n\r\n" + body);
+        }
+    }
+
     /** Guards against failing a write whose answer pauses, and against sending it again. */
     @Test
     void answerOfAWriteThatPausesIsServed() throws Exception {
