Have the test of NBD leaves show the fault each time, by commands that hang

Cause: its first command was served at once, so that reading went on and the play was another one each time. Change: the command on the open connection hangs, so that four are pending when the client closes; what reaches the node after that counts.

--- a/src/test/java/cypressglade/nbd/NbdFrontTest.java
+++ b/src/test/java/cypressglade/nbd/NbdFrontTest.java
@@ -29,6 +29,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.UnaryOperator;
 import java.util.stream.IntStream;
 import org.assertj.core.api.Assertions;
@@ -414,31 +415,34 @@
     @Test
     void clientDisconnectBehindPendingCommandsSendsNothing() throws Exception {
         int commands = 6;
+        AtomicInteger sentBefore = new AtomicInteger(-1);
+        CountDownLatch left = new CountDownLatch(1);
+        CountDownLatch over = new CountDownLatch(1);
+        AtomicBoolean isFirst = new AtomicBoolean(true);
         try (Client known = new Client().go("disk", true);
                 Client client = new Client().go("disk", true)) {
             assertThat(known.command(NbdProtocol.CMD_READ, 0, 512)).isZero();
-            first.commands.clear();
+            first.script = (peer, command, out) -> over.await();
             first.beforeGo =
                     () -> {
-                        client.socket.close();
-                        // by the time of this answer the disconnect has been read, if it is
-                        site.ask(Site.request("GET", "/healthz", "", ""));
+                        if (isFirst.getAndSet(false)) {
+                            client.socket.close();
+                            Thread.sleep(30); // for commands on the connection that is open
+                            sentBefore.set(first.commands.size());
+                            left.countDown();
+                        }
+                        left.await();
                     };
             for (int i = 0; i < commands; i++) {
                 client.header(NbdProtocol.CMD_READ, HALF - 512, 512);
             }
             client.out.flush();
-            Site.await(
-                    () ->
-                            site.serve.counters().get(Counters.Name.ENDED_MOOT)
-                                            + site.serve
-                                                    .counters()
-                                                    .get(Counters.Name.ENDED_CONNECT_FAILED)
-                                    >= 3);
+            assertThat(left.await(5, TimeUnit.SECONDS)).as("its client has left").isTrue();
+            Thread.sleep(400); // for attempts that would begin without their client
+        } finally {
+            over.countDown();
         }
-        assertThat(first.commands)
-                .as("but the one on the connection that was open")
-                .hasSizeLessThan(2);
+        assertThat(first.commands).hasSize(sentBefore.get());
     }
 
     /** Guards against one client's commands that keep the others from their turn. */
