Know the ids of a process whose settings have longer deadlines

Cause: found on reading: the shared table took an end further away than its own process keeps ids for stale, so that the next process of an upgrade with shorter deadlines did not know the first one's ids; and a reload with longer deadlines did not lengthen the time. Change: a fixed bound of two hours tells stale entries; the time to keep an id goes with each registration and follows the settings. Measured: idOfAProcessWithLongerDeadlinesIsKnown failed before (1 of 1) and passes; 102 tests of the classes touched passed.

--- a/src/main/java/cypressglade/http/IdTable.java
+++ b/src/main/java/cypressglade/http/IdTable.java
@@ -4,6 +4,7 @@
 import java.lang.invoke.VarHandle;
 import java.nio.ByteBuffer;
 import java.nio.ByteOrder;
+import java.time.Duration;
 
 /**
  * A set of ids, each kept for a time, in memory that several processes may share. It is bounded:
@@ -29,18 +30,18 @@
     private static final VarHandle WORDS =
             MethodHandles.byteBufferViewVarHandle(long[].class, ByteOrder.nativeOrder());
 
+    /** An id is kept for two hours at most; an end further away was written days ago. */
+    private static final long MAX_TICKS = Duration.ofHours(2).toNanos() / NANOS_PER_TICK;
+
     private final ByteBuffer memory;
-    private final long keptTicks;
 
     /**
      * Creates a view of a table.
      *
      * @param memory of {@link #BYTES} bytes, direct or mapped
-     * @param keptNanos for how long an id is kept
      */
-    IdTable(ByteBuffer memory, long keptNanos) {
+    IdTable(ByteBuffer memory) {
         this.memory = memory;
-        keptTicks = Math.min(keptNanos / NANOS_PER_TICK + 1, TICK_MASK / 4);
     }
 
     /**
@@ -48,9 +49,11 @@
      * same moment, one of them or none is told that it was added.
      *
      * @param nowNanos the time by {@link System#nanoTime}, which all processes share
+     * @param keptNanos for how long the id is kept
      */
-    boolean add(long hash, long nowNanos) {
+    boolean add(long hash, long nowNanos, long keptNanos) {
         long now = tick(nowNanos);
+        long keptTicks = Math.min(keptNanos / NANOS_PER_TICK + 1, MAX_TICKS);
         long word = hash & ~TICK_MASK | USED | (now + keptTicks) & TICK_MASK;
         int slot = -1;
         while (slot < 0) {
@@ -147,12 +150,9 @@
         return (word & ~TICK_MASK) == (hash & ~TICK_MASK | USED);
     }
 
-    /**
-     * An end that is further away than any id is kept was written before the clock's last start.
-     */
-    private boolean isLive(long word, long now) {
+    private static boolean isLive(long word, long now) {
         long left = ticksLeft(word, now);
-        return word != EMPTY && left > 0 && left <= keptTicks;
+        return word != EMPTY && left > 0 && left <= MAX_TICKS;
     }
 
     private static long ticksLeft(long word, long now) {
--- a/src/main/java/cypressglade/http/RequestHandler.java
+++ b/src/main/java/cypressglade/http/RequestHandler.java
@@ -101,6 +101,7 @@
     /** Replaces the settings. Requests that are open keep those they started with. */
     void applySettings(Settings settings) {
         parser = new RequestParser(settings);
+        traceIds.setLongestDeadline(parser.maxDeadline());
     }
 
     /** Sets a time by which requests that arrive from now on are answered at the latest. */
--- a/src/main/java/cypressglade/http/TraceIds.java
+++ b/src/main/java/cypressglade/http/TraceIds.java
@@ -18,7 +18,7 @@
     private static final Duration MIN_RETENTION = Duration.ofSeconds(10);
 
     private final Supplier<Optional<ByteBuffer>> sharedMemory;
-    private final Duration retention;
+    private Duration retention;
     private IdTable ids;
     private boolean isShared;
 
@@ -31,10 +31,15 @@
      */
     TraceIds(Duration longestDeadline, Supplier<Optional<ByteBuffer>> sharedMemory) {
         this.sharedMemory = sharedMemory;
+        setLongestDeadline(longestDeadline);
+        ids = new IdTable(ByteBuffer.allocateDirect(IdTable.BYTES));
+        share();
+    }
+
+    /** Changes the longest deadline of any class, for ids that are registered from now on. */
+    void setLongestDeadline(Duration longestDeadline) {
         Duration kept = longestDeadline.multipliedBy(DEADLINES_KEPT);
         retention = kept.compareTo(MIN_RETENTION) > 0 ? kept : MIN_RETENTION;
-        ids = new IdTable(ByteBuffer.allocateDirect(IdTable.BYTES), retention.toNanos());
-        share();
     }
 
     /** Tries to share the table, if it is not shared yet. To be called periodically. */
@@ -46,7 +51,7 @@
                 .get()
                 .ifPresent(
                         memory -> {
-                            IdTable shared = new IdTable(memory, retention.toNanos());
+                            IdTable shared = new IdTable(memory);
                             shared.addAll(ids, System.nanoTime());
                             ids = shared;
                             isShared = true;
@@ -55,7 +60,7 @@
 
     /** Registers an id; returns false where it is registered already. */
     boolean register(String id) {
-        return ids.add(hash(id), System.nanoTime());
+        return ids.add(hash(id), System.nanoTime(), retention.toNanos());
     }
 
     /** Removes the id of a request that was sent to no node, so that it may be used again. */
--- a/src/test/java/cypressglade/http/TraceIdsTest.java
+++ b/src/test/java/cypressglade/http/TraceIdsTest.java
@@ -61,10 +61,20 @@
     @Test
     void idIsKeptForItsTime() {
         long second = Duration.ofSeconds(1).toNanos();
-        IdTable table = new IdTable(ByteBuffer.allocateDirect(IdTable.BYTES), 10 * second);
+        IdTable table = new IdTable(ByteBuffer.allocateDirect(IdTable.BYTES));
         long now = System.nanoTime();
-        assertThat(table.add(7, now)).isTrue();
-        assertThat(table.add(7, now + 10 * second)).isFalse();
-        assertThat(table.add(7, now + 11 * second)).isTrue();
+        assertThat(table.add(7, now, 10 * second)).isTrue();
+        assertThat(table.add(7, now + 10 * second, 10 * second)).isFalse();
+        assertThat(table.add(7, now + 11 * second, 10 * second)).isTrue();
+    }
+
+    /** Guards against forgetting ids of a process whose settings have longer deadlines. */
+    @Test
+    void idOfAProcessWithLongerDeadlinesIsKnown() {
+        ByteBuffer memory = ByteBuffer.allocateDirect(IdTable.BYTES);
+        TraceIds longer = new TraceIds(DEADLINE, () -> Optional.of(memory));
+        TraceIds shorter = new TraceIds(Duration.ofMillis(100), () -> Optional.of(memory));
+        assertThat(longer.register("a")).isTrue();
+        assertThat(shorter.register("a")).isFalse();
     }
 }
