Read an NBD handshake in small parts, so that options at full speed take few turns

Cause: found on asking each path what bounds one event: 16 KB of handshake hold a thousand options, each with its reply, handled in one go. Change: a read of the handshake takes 512 bytes at the most, one of commands 16 KB as before.

--- a/src/main/java/cypressglade/nbd/NbdListener.java
+++ b/src/main/java/cypressglade/nbd/NbdListener.java
@@ -29,6 +29,10 @@
  */
 public final class NbdListener implements AutoCloseable {
     private static final int MAX_CLIENTS = 12;
+
+    /** Bytes of one read during the handshake, so that a few options are handled in an event. */
+    private static final int HANDSHAKE_READ_BYTES = 512;
+
     private static final Duration HANDSHAKE_TIMEOUT = Duration.ofSeconds(10);
 
     private final EventLoop loop;
@@ -117,6 +121,7 @@
             return;
         }
         clients.add(connection);
+        connection.setReadLimit(HANDSHAKE_READ_BYTES);
         ServerHandshake handshake =
                 new ServerHandshake(
                         connection,
--- a/src/main/java/cypressglade/nbd/Transmission.java
+++ b/src/main/java/cypressglade/nbd/Transmission.java
@@ -42,6 +42,7 @@
     private static final long MAX_SKIPPED_BYTES = 64L << 20;
     private static final int MAX_PENDING_COMMANDS = 4;
     private static final int MAX_COMMANDS_A_TURN = 4;
+    private static final int READ_BYTES = 16 * 1024;
 
     /** Bytes of further commands that are read while others are pending. */
     private static final int MAX_READ_AHEAD_BYTES = 512 * 1024;
@@ -77,6 +78,7 @@
         this.export = export;
         this.structured = structured;
         account = listener.inputBudget().open();
+        connection.setReadLimit(READ_BYTES);
         sections.expect(NbdProtocol.REQUEST_HEADER_BYTES, this::handleRequest);
     }
 
