--- a/src/main/java/cypressglade/http/ClientListener.java
+++ b/src/main/java/cypressglade/http/ClientListener.java
@@ -64,11 +64,7 @@
     /** Interval at which the lateness of the I/O thread is measured. */
     private static final Duration LATENESS_INTERVAL = Duration.ofMillis(20);
 
-    /**
-     * Mean lateness above which fewer connections are served. With 50 ms almost no request was
-     * answered in time where two schedulers with 0.43 of a core each were sent 5,600 requests a
-     * second.
-     */
+    /** Mean lateness above which fewer connections are served. */
     private static final Duration MAX_LATENESS = Duration.ofMillis(20);
 
     /** Connections that are served however late the I/O thread runs. */
@@ -86,11 +82,11 @@
     private final ByteBudget outputBudget;
     private final Set<ClientConnection> clients = new LinkedHashSet<>();
     private final Counters counters;
-    private ListeningSocket listening;
-    private Budget budget;
     private final ConnectionLimiter connectionLimiter =
             new ConnectionLimiter(MIN_CLIENTS, MAX_LATENESS);
     private final Optional<ConnectionPacer> connectionPacer;
+    private ListeningSocket listening;
+    private Budget budget;
     private int acceptedSinceUpdate; // connections, since the pacer was last updated
     private int servedLimit = Integer.MAX_VALUE; // connections, by the lateness of this thread
     private int acceptedLimit = Integer.MAX_VALUE; // connections, as last set at the acceptor
--- a/src/test/java/cypressglade/http/ServeTest.java
+++ b/src/test/java/cypressglade/http/ServeTest.java
@@ -82,10 +82,7 @@
         assertThat(Integer.parseInt(sent.headers().get("x-expires-in-ms"))).isBetween(1, 900);
     }
 
-    /**
-     * Guards against an exchange that Undertow ends with an empty 200 because its body arrived
-     * after the head.
-     */
+    /** Guards against an answer that no node made, where the body arrives after the head. */
     @ParameterizedTest
     @CsvSource({"false,false", "true,false", "false,true", "true,true"})
     void bodyThatArrivesAfterItsHeadGetsTheNodesAnswer(boolean expect, boolean chunked)
