Read what has come before an answer that is passed on is taken for silent

Cause: found on reading: the timer that ends a stream after 3 s without a byte went by what had been read, not by what had come, as in the incident of 2026-12-02; a process held up for as long would cut off a sound answer. Change: it reads first, where the stream is not paused. Measured: NodePoolTest, NodeClientTest and ServeTest passed.

--- a/src/main/java/cypressglade/net/NodePool.java
+++ b/src/main/java/cypressglade/net/NodePool.java
@@ -648,6 +648,12 @@
 
             /** Ends a stream that its node does not write, or that nobody has started. */
             private void checkSilence() {
+                if (!isPaused) {
+                    connection.readNow(); // input that arrived while this thread was busy
+                }
+                if (finished) {
+                    return;
+                }
                 Duration silent = Duration.between(lastReadAt, MonotonicClock.now());
                 boolean isAwaited = receiver == null || !isPaused;
                 if (isAwaited && silent.compareTo(MAX_STREAM_SILENCE) >= 0) {
