Reproduce late answers beside empty lines and two attempts at once, known red

Change: FloodIT sends nine kinds of input that make no request, in blocks of 64 KB by three senders, and requests of ever new names. Stand-ins keep attempts as spans in a RuleJudge, which asks the kernel whether an earlier attempt's connection is open both ways as the next begins. ServeTest's test of a second attempt that hangs asked for two attempts where the settings allow one; it plays settings that allow both now, with its assertions as before.

--- a/src/test/java/cypressglade/http/ServeTest.java
+++ b/src/test/java/cypressglade/http/ServeTest.java
@@ -706,6 +706,14 @@
     /** Guards against losing the first of two attempts, where the second gets no answer. */
     @Test
     void answerOfAReadThatPausesIsServedWhereTheSecondAttemptHangs() throws Exception {
+        node.judge.allowSecondCopies();
+        site.close();
+        site =
+                new Site(
+                        Site.entry(0, node.hostPort(), "active", 0),
+                        OperatorFiles.NONE,
+                        UnaryOperator.identity(),
+                        Site::allowSecondCopies);
         node.script(
                 (request, out) -> {
                     node.script((second, nothing) -> Thread.sleep(5000));
--- a/src/test/java/cypressglade/process/FloodIT.java
+++ b/src/test/java/cypressglade/process/FloodIT.java
@@ -3,29 +3,32 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import cypressglade.standin.HttpPeer;
-import cypressglade.standin.HttpPeer.Message;
-import java.io.DataInputStream;
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.file.Path;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
 
 /** A few clients that send at full speed take no answers from the others. */
 class FloodIT {
     private static final int OTHERS = 20;
     private static final int WAIT_MS = 1000;
     private static final long BETWEEN_MS = 40;
-    private static final long FLOOD_MS = 4000;
+    private static final long FLOOD_MS = 4500;
     private static final int REQUESTS_A_WRITE = 50;
+    private static final int NOISE_SENDERS = 3;
+    private static final int BLOCK_BYTES = 64 * 1024;
     private static final String OTHER_VOLUME = "/000000000000f00d/";
     private static final int READ_BYTES = 64 * 1024;
 
     @TempDir Path folder;
+    private SmallSite site;
     private final AtomicInteger served = new AtomicInteger();
     private final AtomicInteger refused = new AtomicInteger();
     private final AtomicInteger late = new AtomicInteger();
@@ -41,30 +44,84 @@
         "/counters, 6, true",
         "/recent, 6, true",
         "/no-class/0000000000000001/0000000000000002, 6, true",
-        "reads, 6, true"
+        "reads, 6, true",
+        "new names, 6, true"
     })
     void othersAreServedInTimeBesideClientsThatSendAtFullSpeed(
             String path, int senders, boolean reading) throws Exception {
-        try (SmallSite site = new SmallSite(folder, HttpPeer.answer(200, "", "data"))) {
+        String name = path + " from " + senders + ", reading " + reading;
+        play(name, senders, over -> flood(over, () -> "", () -> requests(path), reading));
+    }
+
+    /** What senders that make no request of it, or no sound one, write at full speed. */
+    private enum Noise {
+        EMPTY_LINES("\r\n"),
+        LINE_FEEDS("\n"),
+        CARRIAGE_RETURNS("\r"),
+        NULS("\0"),
+        HALF_HEADS("\r\n", "GET /healthz HTTP/1.1\r\nHost: x\r\nA: "),
+        FIELDS("a: b\r\n", "GET /healthz HTTP/1.1\r\n"),
+        TINY_CHUNKS("1\r\nx\r\n", "PUT /x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"),
+        LONG_CHUNK_EXTENSIONS(
+                "1;" + "e".repeat(1000), "PUT /x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"),
+        EMPTY_LINES_BEHIND_A_REQUEST("\r\n");
+
+        private final String repeated;
+        private final String start;
+
+        Noise(String repeated) {
+            this(repeated, "");
+        }
+
+        Noise(String repeated, String start) {
+            this.repeated = repeated;
+            this.start = start;
+        }
+
+        /** What a sender writes once, before what it repeats. */
+        String first() {
+            return this == EMPTY_LINES_BEHIND_A_REQUEST ? SmallSite.read(WAIT_MS) : start;
+        }
+
+        String block() {
+            return repeated.repeat(BLOCK_BYTES / repeated.length());
+        }
+    }
+
+    /** Guards against work for one sender that ends only when the sender pauses. */
+    @ParameterizedTest
+    @EnumSource(Noise.class)
+    void othersAreServedInTimeBesideClientsThatSendNoRequestsAtFullSpeed(Noise noise)
+            throws Exception {
+        String block = noise.block();
+        play(noise.name(), NOISE_SENDERS, over -> flood(over, noise::first, () -> block, true));
+    }
+
+    private void play(String name, int senders, Load.Client sender) throws Exception {
+        try (SmallSite played = new SmallSite(folder, HttpPeer.answer(200, "", "data"))) {
+            site = played;
             assertThat(site.ask(SmallSite.read(WAIT_MS)).status()).isEqualTo(200);
-            Supplier<String> requests = () -> requests(path);
-            try (Load flood = new Load(senders, over -> flood(site, requests, reading, over));
-                    Load others = new Load(OTHERS, over -> ask(site, over))) {
+            try (Load flood = new Load(senders, sender);
+                    Load others = new Load(OTHERS, this::ask)) {
                 RealScheduler.pause(FLOOD_MS);
                 others.stop();
                 flood.stop();
             }
+            long residentMb = site.scheduler.residentKb() / 1024;
             System.out.printf(
-                    "%s from %d, reading %s: others %s served, %s refused, %s late or never%n",
-                    path, senders, reading, served, refused, late);
+                    "%s: others %s served, %s refused, %s late or never; %d MB%n",
+                    name, served, refused, late, residentMb);
             assertThat(late).as("answers that were late or never came").hasValue(0);
             assertThat(refused.get()).isLessThan(served.get() / 10);
-            assertThat(site.scheduler.residentKb() / 1024).isLessThan(SmallSite.MEMORY_MB);
+            assertThat(residentMb).isLessThan(SmallSite.MEMORY_MB);
         }
     }
 
     /** Requests for a page, or reads with new ids of a volume that nobody else asks for. */
     private static String requests(String path) {
+        if (path.equals("new names")) {
+            return requestsOfNewNames();
+        }
         if (!path.equals("reads")) {
             return ("GET " + path + " HTTP/1.1\r\nHost: x\r\n\r\n").repeat(REQUESTS_A_WRITE);
         }
@@ -75,9 +132,21 @@
         return reads.toString();
     }
 
+    /** Sound reads and reads of no class, each of a volume and an object that nobody knows. */
+    private static String requestsOfNewNames() {
+        StringBuilder requests = new StringBuilder();
+        for (int i = 0; i < REQUESTS_A_WRITE; i++) {
+            String volume = "/%016x/".formatted(ThreadLocalRandom.current().nextLong());
+            String read = SmallSite.read(WAIT_MS).replaceFirst("/00000003b4d60021/", volume);
+            requests.append(
+                    i % 2 == 0 ? read : read.replaceFirst("job-read", "job" + volume.hashCode()));
+        }
+        return requests.toString();
+    }
+
     /** Writes requests as fast as they are taken; ends with the first failure, or once over. */
-    private static void flood(
-            SmallSite site, Supplier<String> requests, boolean reading, BooleanSupplier over) {
+    private void flood(
+            BooleanSupplier over, Supplier<String> first, Supplier<String> next, boolean reading) {
         try (Socket client = site.scheduler.connect()) {
             Thread reader = new Thread(() -> discardInput(client), "reader");
             if (reading) {
@@ -93,8 +162,9 @@
                             },
                             "watch");
             watch.start();
+            SmallSite.send(client, first.get());
             while (!over.getAsBoolean()) {
-                SmallSite.send(client, requests.get());
+                SmallSite.send(client, next.get());
             }
         } catch (IOException ended) {
             // by the scheduler, or as it is over
@@ -121,13 +191,11 @@
     }
 
     /** Asks on one connection, with a pause after each answer, until it is over. */
-    private void ask(SmallSite site, BooleanSupplier over) {
+    private void ask(BooleanSupplier over) {
         try (Socket client = site.scheduler.connect()) {
             client.setSoTimeout(WAIT_MS);
-            DataInputStream in = new DataInputStream(client.getInputStream());
             while (!over.getAsBoolean()) {
-                SmallSite.send(client, SmallSite.read(WAIT_MS));
-                int status = Message.read(in).status();
+                int status = site.ask(client, SmallSite.read(WAIT_MS)).status();
                 (status == 200 ? served : refused).incrementAndGet();
                 RealScheduler.pause(BETWEEN_MS);
             }
--- a/src/test/java/cypressglade/process/SmallSite.java
+++ b/src/test/java/cypressglade/process/SmallSite.java
@@ -7,11 +7,13 @@
 import cypressglade.standin.StandIn;
 import java.io.DataInputStream;
 import java.io.IOException;
+import java.io.PushbackInputStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Optional;
+import java.util.function.UnaryOperator;
 
 /** A scheduler of 128 MB with classes of 2 s, and the one storage node that it sends to. */
 final class SmallSite implements AutoCloseable {
@@ -28,14 +30,20 @@
     }
 
     SmallSite(Path folder, StandIn node) throws IOException {
+        this(folder, node, UnaryOperator.identity());
+    }
+
+    /** One whose configuration is edited as text. */
+    SmallSite(Path folder, StandIn node, UnaryOperator<String> edit) throws IOException {
         this.node = node;
         String entry = Site.entry(0, node.hostPort(), "active", 0);
         place = Place.in(folder, entry, "127.0.0.1:1", MEMORY_MB);
         String text = Files.readString(place.config());
         Files.writeString(
                 place.config(),
-                text.replaceAll("\"objectiveUs\":\\d+", "\"objectiveUs\":1500000")
-                        .replaceAll("\"deadlineUs\":\\d+", "\"deadlineUs\":2000000"));
+                edit.apply(
+                        text.replaceAll("\"objectiveUs\":\\d+", "\"objectiveUs\":1500000")
+                                .replaceAll("\"deadlineUs\":\\d+", "\"deadlineUs\":2000000")));
         scheduler = RealScheduler.start(place, Optional.empty());
     }
 
@@ -59,9 +67,23 @@
     /** Sends a request on a new connection, and reads its answer. */
     Message ask(String request) throws IOException {
         try (Socket client = scheduler.connect()) {
-            send(client, request);
-            return Message.read(new DataInputStream(client.getInputStream()));
+            return ask(client, request);
+        }
+    }
+
+    /** Sends a request on a connection, and reads its answer. */
+    Message ask(Socket client, String request) throws IOException {
+        node.judge.sent(request);
+        send(client, request);
+        PushbackInputStream in = new PushbackInputStream(client.getInputStream());
+        int first = in.read();
+        long firstByteAt = System.nanoTime();
+        if (first >= 0) {
+            in.unread(first);
         }
+        Message answer = Message.read(new DataInputStream(in));
+        node.judge.answered(request, firstByteAt, answer.body().length());
+        return answer;
     }
 
     @Override
--- a/src/test/java/cypressglade/standin/HttpPeer.java
+++ b/src/test/java/cypressglade/standin/HttpPeer.java
@@ -104,7 +104,7 @@
                 answer(200, "", "").answer(request, out);
             } else {
                 requests.add(request);
-                script.answer(request, out);
+                judged(request, out, script);
             }
         }
     }
--- /dev/null
+++ b/src/test/java/cypressglade/standin/RuleJudge.java
@@ -0,0 +1,209 @@
+package cypressglade.standin;
+
+import cypressglade.standin.HttpPeer.Message;
+import java.io.IOException;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Judges a play by the rules of the protocol page: keeps the attempts that a node saw as spans,
+ * from their last byte to their answer or their close, and the requests that clients sent. Safe for
+ * use by several threads.
+ */
+public final class RuleJudge {
+    private static final long NANOS_PER_MS = 1_000_000;
+
+    /** An answer that comes later than this after its client's time is lost. */
+    private static final long LATE_MS = 500;
+
+    /** Of an answer with a longer body the first byte is timed, not the last. */
+    private static final int TIMED_WHOLE_BYTES = 64 * 1024;
+
+    /** An attempt that begins later than this after its client's close breaks the rule. */
+    private static final long LEFT_MS = 100;
+
+    /** By how much the time passed on to a node may exceed what its client has left. */
+    private static final long DEADLINE_SLACK_MS = 150;
+
+    /** Time after a node was told to drain in which attempts may still begin. */
+    private static final long DRAIN_GRACE_MS = 500;
+
+    private static final String ID = "x-trace-id";
+    private static final String TIME = "x-expires-in-ms";
+
+    private final Map<String, List<Span>> spans = new HashMap<>();
+    private final Map<String, Sent> requests = new HashMap<>();
+    private final List<String> violations = new ArrayList<>();
+    private boolean mayCopy;
+    private long drainedAt = Long.MAX_VALUE;
+    private int copies;
+
+    /** One attempt at a node. */
+    public final class Span {
+        private final Socket connection;
+        private boolean isOver;
+        private boolean neverRan;
+
+        private Span(Socket connection) {
+            this.connection = connection;
+        }
+
+        /** The answer is written, or the node has given the attempt up. */
+        public void end(boolean hasNeverRan) {
+            synchronized (RuleJudge.this) {
+                isOver = true;
+                neverRan = hasNeverRan;
+            }
+        }
+
+        private boolean isOut() {
+            try {
+                return !isOver && TcpState.isOpenBothWays(connection);
+            } catch (IOException unreadable) {
+                throw new java.io.UncheckedIOException(unreadable);
+            }
+        }
+    }
+
+    /** A request as its client sent it last. */
+    private static final class Sent {
+        private final long at = System.nanoTime();
+        private final long waitMs;
+        private boolean isAnswered;
+        private long leftAt = Long.MAX_VALUE;
+
+        private Sent(long waitMs) {
+            this.waitMs = waitMs;
+        }
+    }
+
+    /** Lets a read have two attempts out at once, as the settings of the play do. */
+    public synchronized void allowSecondCopies() {
+        mayCopy = true;
+    }
+
+    /** The node is told to be draining, from now on. */
+    public synchronized void drained() {
+        drainedAt = System.nanoTime();
+    }
+
+    /** How many attempts began while an earlier one of their request was out. */
+    public synchronized int copies() {
+        return copies;
+    }
+
+    /** A node has read the last byte of an attempt. */
+    public synchronized Span begin(Message request, Socket connection) {
+        Span span = new Span(connection);
+        String id = request.headers().get(ID);
+        if (id == null) {
+            return span;
+        }
+        long now = System.nanoTime();
+        List<Span> earlier = spans.computeIfAbsent(id, key -> new ArrayList<>());
+        checkCopies(id, request, earlier);
+        if (now - drainedAt > DRAIN_GRACE_MS * NANOS_PER_MS) {
+            violations.add("drain: " + id + " begun " + millis(now - drainedAt) + " late");
+        }
+        Sent sent = requests.get(id);
+        if (sent != null) {
+            checkClient(id, request, sent, now);
+        }
+        earlier.add(span);
+        return span;
+    }
+
+    private void checkCopies(String id, Message request, List<Span> earlier) {
+        boolean isWrite = !request.first().startsWith("GET ");
+        boolean isKeyed = request.headers().containsKey("idempotency-key");
+        if (earlier.stream().anyMatch(Span::isOut)) {
+            copies++;
+            if (!mayCopy || isWrite) {
+                violations.add("duplicate: " + id + " has two attempts out at once");
+            }
+        }
+        if (isWrite && !isKeyed && earlier.stream().anyMatch(span -> !span.neverRan)) {
+            violations.add("duplicate: " + id + " was sent again and may have run");
+        }
+    }
+
+    private void checkClient(String id, Message request, Sent sent, long now) {
+        if (sent.leftAt != Long.MAX_VALUE && now - sent.leftAt > LEFT_MS * NANOS_PER_MS) {
+            violations.add(
+                    "lost: " + id + " begun " + millis(now - sent.leftAt) + " after its leave");
+        }
+        long leftMs = sent.waitMs - (now - sent.at) / NANOS_PER_MS;
+        long passedOnMs = Long.parseLong(request.headers().getOrDefault(TIME, "0"));
+        if (passedOnMs > leftMs + DEADLINE_SLACK_MS) {
+            violations.add(
+                    "lost: " + id + " was passed on with " + passedOnMs + " ms of " + leftMs);
+        }
+    }
+
+    /** A client sends a request, as text; the id and the time are those of its headers. */
+    public synchronized void sent(String request) {
+        if (request.contains("X-Trace-Id: ")) {
+            requests.put(header(request, "X-Trace-Id"), new Sent(waitMs(request)));
+        }
+    }
+
+    /**
+     * A client has read a whole answer.
+     *
+     * @param firstByteAt when its first byte was read, by {@link System#nanoTime}
+     */
+    public synchronized void answered(String request, long firstByteAt, int bodyBytes) {
+        if (!request.contains("X-Trace-Id: ")) {
+            return;
+        }
+        String id = header(request, "X-Trace-Id");
+        Sent sent = requests.get(id);
+        long timedAt = bodyBytes > TIMED_WHOLE_BYTES ? firstByteAt : System.nanoTime();
+        long lateNanos = timedAt - sent.at - sent.waitMs * NANOS_PER_MS;
+        sent.isAnswered = true;
+        if (lateNanos > LATE_MS * NANOS_PER_MS) {
+            violations.add("lost: " + id + " answered " + millis(lateNanos) + " after its time");
+        }
+    }
+
+    /** A client has closed its connection, or reset it. */
+    public synchronized void left(String request) {
+        requests.get(header(request, "X-Trace-Id")).leftAt = System.nanoTime();
+    }
+
+    /** Forgets a request that is owed no answer, such as one behind a leave. */
+    public synchronized void excuse(String request) {
+        requests.remove(header(request, "X-Trace-Id"));
+    }
+
+    /** What broke a rule so far; a request that was not answered in time is lost. */
+    public synchronized List<String> violations() {
+        long now = System.nanoTime();
+        List<String> all = new ArrayList<>(violations);
+        requests.forEach(
+                (id, sent) -> {
+                    boolean isOwed = !sent.isAnswered && sent.leftAt == Long.MAX_VALUE;
+                    if (isOwed && now - sent.at > (sent.waitMs + LATE_MS) * NANOS_PER_MS) {
+                        all.add("lost: " + id + " was never answered");
+                    }
+                });
+        return all;
+    }
+
+    /** How long the client of a request waits for its answer, in milliseconds. */
+    public static int waitMs(String request) {
+        return Integer.parseInt(header(request, "X-Expires-In-Ms"));
+    }
+
+    private static String header(String request, String name) {
+        int at = request.indexOf(name + ": ") + name.length() + 2;
+        return request.substring(at, request.indexOf("\r\n", at));
+    }
+
+    private static String millis(long nanos) {
+        return nanos / NANOS_PER_MS + " ms";
+    }
+}
--- a/src/test/java/cypressglade/standin/Site.java
+++ b/src/test/java/cypressglade/standin/Site.java
@@ -136,6 +136,11 @@
         }
     }
 
+    /** The example's text with permission for two attempts of one request at once. */
+    public static String allowSecondCopies(String text) {
+        return text.replace("\"mayCancel\":true", "\"mayCancel\":true,\"secondCopies\":true");
+    }
+
     /** The example's text with its two classes in the other order. */
     public static String classesInReverseOrder(String text) {
         return reverseOrder(text, "job-read", "job-write")
--- a/src/test/java/cypressglade/standin/StandIn.java
+++ b/src/test/java/cypressglade/standin/StandIn.java
@@ -17,7 +17,13 @@
  * speaks.
  */
 public abstract class StandIn implements AutoCloseable {
+    private static final ThreadLocal<Socket> SERVED = new ThreadLocal<>();
+
     public final AtomicInteger connections = new AtomicInteger();
+
+    /** Judges what this server sees. */
+    public final RuleJudge judge = new RuleJudge();
+
     private final ServerSocket server;
     private final Thread accepter;
     private final Queue<Socket> sockets = new ConcurrentLinkedQueue<>();
@@ -40,6 +46,24 @@
 
     protected abstract void talk(DataInputStream in, DataOutputStream out) throws Exception;
 
+    /** The connection that the calling thread serves. */
+    protected static Socket connection() {
+        return SERVED.get();
+    }
+
+    /** Notes an attempt with the judge, and its end once its answer is written or given up. */
+    protected final void judged(
+            HttpPeer.Message request, DataOutputStream out, HttpPeer.Script script)
+            throws Exception {
+        RuleJudge.Span attempt = judge.begin(request, connection());
+        AnswerHead head = new AnswerHead(out);
+        try {
+            script.answer(request, new DataOutputStream(head));
+        } finally {
+            attempt.end(head.saysNeverRan());
+        }
+    }
+
     public InetSocketAddress address() {
         return (InetSocketAddress) server.getLocalSocketAddress();
     }
@@ -65,6 +89,7 @@
     }
 
     private void serve(Socket socket) {
+        SERVED.set(socket);
         try (socket) {
             try {
                 talk(
