Give each callback of the I/O thread a budget for reading, and say who holds the thread

Seen by callers: answers up to 2.3 s late while others sent empty lines at full speed, from 2.2 s after the flood's start to its end. A fast sender's never is, so the thread did nothing else until the sender paused. No line of a log said so. Change: CallbackBudget bounds what one callback reads to 1 MiB and 10 ms, whoever asks; readNow answers 'not known' beyond it. A callback that holds the thread for 50 ms or more is logged with its owner, remote address, time and bytes, in GET /recent and in two counters. Two unused methods are gone.

--- a/src/main/java/cypressglade/cli/Serve.java
+++ b/src/main/java/cypressglade/cli/Serve.java
@@ -9,6 +9,7 @@
 import cypressglade.core.MonotonicClock;
 import cypressglade.core.NodeDirectory;
 import cypressglade.core.NodeList;
+import cypressglade.core.RequestLog;
 import cypressglade.core.RequestPool;
 import cypressglade.core.Scheduler.RequestClass;
 import cypressglade.http.ClientListener;
@@ -18,6 +19,7 @@
 import cypressglade.nbd.NbdListener;
 import cypressglade.nbd.NbdNodeLink;
 import cypressglade.net.EventLoop;
+import cypressglade.net.LoopHold;
 import cypressglade.net.NodePool;
 import cypressglade.operate.ManualDrains;
 import cypressglade.peer.Peers;
@@ -95,6 +97,22 @@
     private volatile boolean evacuated;
     private volatile int processes = 1;
 
+    private void recordHold(LoopHold hold) {
+        counters.add(Counters.Name.LOOP_HOLDS);
+        counters.add(Counters.Name.LOOP_HELD_MS, hold.duration().toMillis());
+        engine.requestLog()
+                .record(
+                        RequestLog.NO_ID,
+                        RequestLog.Event.HELD_UP,
+                        "the I/O thread for "
+                                + hold.duration().toMillis()
+                                + " ms by "
+                                + hold.owner()
+                                + ", which read "
+                                + hold.bytesRead()
+                                + " bytes");
+    }
+
     /**
      * Creates the parts; {@link #start} lets them take clients.
      *
@@ -106,6 +124,7 @@
         loop = new EventLoop();
         NodeDirectory directory = new NodeDirectory();
         engine = new Engine(config.settings(), directory, counters, files.storms());
+        loop.reportHolds(this::recordHold);
         uncertainWrites =
                 files.storms()
                         .flatMap(StormSettings::uncertainWriteDirectory)
--- a/src/main/java/cypressglade/core/Counters.java
+++ b/src/main/java/cypressglade/core/Counters.java
@@ -61,6 +61,10 @@
         PROBES,
         /** Connections opened to nodes. */
         CONNECTIONS_OPENED,
+        /** Callbacks that held the I/O thread for 50 ms or more. */
+        LOOP_HOLDS,
+        /** Milliseconds for which they held it. */
+        LOOP_HELD_MS,
         /** Node lists and changes of them that the scheduling policy has processed. */
         LISTS,
         /** Discovery watches that broke. */
--- a/src/main/java/cypressglade/core/RequestLog.java
+++ b/src/main/java/cypressglade/core/RequestLog.java
@@ -47,11 +47,17 @@
         /** The request's task threw an exception, or its client did not read the answer in time. */
         CUT_OFF,
         /** The request was ended because the program stops. */
-        STOPPED;
+        STOPPED,
+        /** One callback held the I/O thread for long; every connection waited meanwhile. */
+        HELD_UP;
 
         /** Whether the client may not have got the answer that it was owed. */
         boolean isUnexpected() {
-            return this == BY_DEADLINE || this == LATE || this == CUT_OFF || this == STOPPED;
+            return this == BY_DEADLINE
+                    || this == LATE
+                    || this == CUT_OFF
+                    || this == STOPPED
+                    || this == HELD_UP;
         }
     }
 
--- a/src/main/java/cypressglade/http/ClientConnection.java
+++ b/src/main/java/cypressglade/http/ClientConnection.java
@@ -78,7 +78,7 @@
     enum Presence {
         CONNECTED,
         LEFT,
-        /** So much input is unread that an end behind it would not show. */
+        /** Input is unread, or was not looked for, so that an end behind it would not show. */
         UNKNOWN
     }
 
--- a/src/main/java/cypressglade/http/ClientListener.java
+++ b/src/main/java/cypressglade/http/ClientListener.java
@@ -274,7 +274,7 @@
                     isDraining = true;
                     List.copyOf(clients).stream()
                             .filter(closeable)
-                            .forEach(client -> closeIfIdle(client, "leaving"));
+                            .forEach(client -> queueCloseIfIdle(client, "leaving"));
                 });
     }
 
@@ -374,25 +374,29 @@
                 .filter(
                         client ->
                                 isDraining || !handler.hasAnswerDeadline() || !client.wasAnswered())
-                .forEach(client -> closeIfIdle(client, "at rest for long"));
+                .forEach(client -> queueCloseIfIdle(client, "at rest for long"));
         List.copyOf(clients).stream()
                 .filter(client -> client.phase() == ClientConnection.Phase.HEAD)
                 .filter(client -> client.since().isBefore(idleSince))
-                .forEach(this::closeIncomplete);
+                .forEach(client -> turns.add(() -> closeIncomplete(client)));
         loop.executeAfter(isCrowded() ? CROWDED_SWEEP_INTERVAL : SWEEP_INTERVAL, this::sweep);
     }
 
     /**
      * Answers an incomplete request head, and closes its connection. Where more of it has arrived
-     * unread, it gets one more sweep interval.
+     * unread, or may have, it gets one more sweep interval. Input that completes no request buys no
+     * further time, however much of it there is.
      */
     private void closeIncomplete(ClientConnection client) {
+        if (client.phase() != ClientConnection.Phase.HEAD) {
+            return;
+        }
         Instant extendedLimit = MonotonicClock.now().minus(IDLE_TIMEOUT).minus(SWEEP_INTERVAL);
         Instant lastActivity = client.connection().lastActivity();
-        client.checkPresence();
+        boolean mayHaveMore = client.checkPresence() == ClientConnection.Presence.UNKNOWN;
         boolean hasArrived = client.connection().lastActivity().isAfter(lastActivity);
         if (client.phase() == ClientConnection.Phase.HEAD
-                && (client.since().isBefore(extendedLimit) || !hasArrived)) {
+                && (client.since().isBefore(extendedLimit) || !hasArrived && !mayHaveMore)) {
             requestLog.record(
                     RequestLog.NO_ID,
                     RequestLog.Event.CLOSED,
@@ -401,19 +405,32 @@
         }
     }
 
+    /** Closes a connection in its turn, if it is idle then. */
+    private void queueCloseIfIdle(ClientConnection client, String why) {
+        turns.add(
+                () -> {
+                    if (!closeIfIdle(client, why)) {
+                        queueCloseIfIdle(client, why);
+                    }
+                });
+    }
+
     /**
      * Closes a connection that is idle. One whose next request has arrived unread is kept, and that
      * request is read now.
+     *
+     * @return false where it is idle as far as it was read, but the budget for reading was spent
      */
-    private void closeIfIdle(ClientConnection client, String why) {
+    private boolean closeIfIdle(ClientConnection client, String why) {
         if (!client.isIdle()) {
-            return;
+            return true;
         }
-        client.checkPresence();
-        if (client.isIdle()) {
+        boolean mayHaveMore = client.checkPresence() == ClientConnection.Presence.UNKNOWN;
+        if (client.isIdle() && !mayHaveMore) {
             requestLog.record(RequestLog.NO_ID, RequestLog.Event.CLOSED, why);
             closeIdle(client);
         }
+        return !client.isIdle();
     }
 
     /**
--- a/src/main/java/cypressglade/http/HeadDecoder.java
+++ b/src/main/java/cypressglade/http/HeadDecoder.java
@@ -36,11 +36,6 @@
         return bytes.length;
     }
 
-    /** Whether a part of a head has arrived. */
-    boolean hasStarted() {
-        return size > 0;
-    }
-
     /** Forgets what has arrived. */
     void reset() {
         bytes = NONE;
--- a/src/main/java/cypressglade/net/Connection.java
+++ b/src/main/java/cypressglade/net/Connection.java
@@ -9,7 +9,6 @@
 import org.xnio.IoUtils;
 import org.xnio.Options;
 import org.xnio.StreamConnection;
-import org.xnio.conduits.ConduitStreamSourceChannel;
 
 /**
  * A stream connection, usually TCP. All methods must be called on the I/O thread. Its owner has to
@@ -65,8 +64,12 @@
     Connection(EventLoop loop, StreamConnection connection) {
         this.loop = loop;
         this.connection = connection;
-        connection.getSourceChannel().setReadListener(this::read);
-        connection.getSinkChannel().setWriteListener(channel -> write());
+        connection
+                .getSourceChannel()
+                .setReadListener(channel -> loop.budget().run(this, this::read));
+        connection
+                .getSinkChannel()
+                .setWriteListener(channel -> loop.budget().run(this, this::write));
     }
 
     /** Passes further events to this listener, in place of the current one, and starts reading. */
@@ -168,18 +171,26 @@
     /**
      * Reads what has arrived without waiting for its read event, so that a timer decides on the
      * latest input. The listener gets it as usual, and may pause reading or close the connection.
-     * Must not be called while a listener still uses the input that it was given.
+     * Reads no more than the running callback's budget, however fast the other side writes.
      *
-     * @return whether the connection is open and nothing that has arrived is unread
+     * @return whether the connection is open and nothing that has arrived is unread; false also
+     *     where that is not known, as reading is paused or the budget is spent
      */
     public boolean readNow() {
         Arrival arrival = Arrival.BYTES;
-        while (arrival == Arrival.BYTES && isReading()) {
+        while (arrival == Arrival.BYTES && isReading() && loop.budget().hasLeft()) {
             arrival = readOnce();
         }
         return arrival == Arrival.NOTHING && !isClosed;
     }
 
+    /** The listener's class and the remote address. */
+    @Override
+    public String toString() {
+        String owner = listener == null ? "new" : listener.getClass().getSimpleName();
+        return owner + " of " + connection.getPeerAddress();
+    }
+
     /**
      * Ends this side's sending once all output is written; the other side may go on. Closes the
      * connection where that fails.
@@ -265,7 +276,7 @@
      * Handles a read event by one read, so that what one peer sends is read in turn with what the
      * others send. The event comes again where more has arrived.
      */
-    private void read(ConduitStreamSourceChannel channel) {
+    private void read() {
         if (isReading()) {
             readOnce();
         }
@@ -288,6 +299,7 @@
             }
             if (count > 0) {
                 lastActivity = MonotonicClock.now();
+                loop.budget().spend(count);
                 listener.received(input.flip());
             }
             return count == 0 ? Arrival.NOTHING : Arrival.BYTES;
--- a/src/main/java/cypressglade/net/EventLoop.java
+++ b/src/main/java/cypressglade/net/EventLoop.java
@@ -37,7 +37,7 @@
     private static final Logger XNIO_LOGGER = Logger.getLogger("org.xnio");
 
     static final int INPUT_BUFFER_BYTES = 16 * 1024;
-    private static final int ACCEPT_BACKLOG = 512;
+    static final int ACCEPT_BACKLOG = 512;
     private static final Duration BIND_TIMEOUT = Duration.ofSeconds(10);
     private static final Duration START_TIMEOUT = Duration.ofSeconds(5);
     private static final OptionMap TCP_OPTIONS = OptionMap.create(Options.TCP_NODELAY, true);
@@ -53,6 +53,7 @@
     private Duration meanLateness = Duration.ZERO;
     private final ByteBuffer input = ByteBuffer.allocateDirect(INPUT_BUFFER_BYTES);
     private boolean isInputLent;
+    private final CallbackBudget budget = new CallbackBudget();
 
     /**
      * Starts the I/O thread.
@@ -77,15 +78,20 @@
         io = worker.getIoThread();
     }
 
-    /** The XNIO worker that owns the I/O thread. */
-    public XnioWorker worker() {
-        return worker;
-    }
-
     XnioIoThread io() {
         return io;
     }
 
+    /** The budget of the callback that runs now. To be used on this thread. */
+    CallbackBudget budget() {
+        return budget;
+    }
+
+    /** Passes callbacks that hold this thread for long to a consumer, on this thread. */
+    public void reportHolds(Consumer<LoopHold> reporter) {
+        execute(() -> budget.setReporter(reporter));
+    }
+
     /**
      * How late this thread has recently run its due tasks, on average. Must be called on this
      * thread.
@@ -104,7 +110,7 @@
      */
     public void execute(Runnable task) {
         try {
-            io.execute(task);
+            io.execute(() -> budget.run(task, task));
         } catch (RejectedExecutionException closing) {
             LOG.log(System.Logger.Level.DEBUG, "task dropped: the event loop is closed", closing);
         }
@@ -117,7 +123,10 @@
      */
     public XnioExecutor.Key executeAfter(Duration delay, Runnable task) {
         try {
-            return io.executeAfter(task, Math.max(1, delay.toMillis()), TimeUnit.MILLISECONDS);
+            return io.executeAfter(
+                    () -> budget.run(task, task),
+                    Math.max(1, delay.toMillis()),
+                    TimeUnit.MILLISECONDS);
         } catch (RejectedExecutionException closing) {
             return () -> false; // the loop is closed, so the task never runs
         }
@@ -266,7 +275,7 @@
      */
     public UdpSocket openUdpSocket(InetSocketAddress address, UdpSocket.Receiver receiver)
             throws IOException {
-        return new UdpSocket(worker, address, receiver);
+        return new UdpSocket(this, worker, address, receiver);
     }
 
     @Override
--- a/src/main/java/cypressglade/net/UdpSocket.java
+++ b/src/main/java/cypressglade/net/UdpSocket.java
@@ -39,10 +39,11 @@
         void received(InetSocketAddress from, byte[] datagram);
     }
 
-    UdpSocket(XnioWorker worker, InetSocketAddress address, Receiver receiver) throws IOException {
+    UdpSocket(EventLoop loop, XnioWorker worker, InetSocketAddress address, Receiver receiver)
+            throws IOException {
         this.receiver = receiver;
         channel = worker.createUdpServer(address, null, OptionMap.EMPTY);
-        channel.getReadSetter().set(readable -> receive());
+        channel.getReadSetter().set(readable -> loop.budget().run(this, this::receive));
         channel.resumeReads();
     }
 
