Bound the accepts of one event at the operator port and of the last accept at a stop

The operator port accepts 16 an event at the most (its bound on connections), the last accept twice the backlog, which covers all that waited when it began.

--- a/src/main/java/cypressglade/control/OperatorPortServer.java
+++ b/src/main/java/cypressglade/control/OperatorPortServer.java
@@ -142,8 +142,11 @@
     }
 
     private void accept() throws IOException {
-        SocketChannel channel;
-        while ((channel = listener.accept()) != null) {
+        for (int i = 0; i < MAX_CONNECTIONS; i++) {
+            SocketChannel channel = listener.accept();
+            if (channel == null) {
+                return;
+            }
             if (!((InetSocketAddress) channel.getRemoteAddress())
                     .getAddress()
                     .isLoopbackAddress()) {
--- a/src/main/java/cypressglade/net/ListeningSocket.java
+++ b/src/main/java/cypressglade/net/ListeningSocket.java
@@ -75,12 +75,12 @@
     }
 
     /**
-     * Accepts every connection that waits in the backlog, then closes the socket. Must be called on
+     * Accepts the connections that wait in the backlog, then closes the socket. Must be called on
      * the I/O thread; both happen in one task, which keeps the time short in which another
      * connection could arrive and be lost.
      */
     public void acceptWaitingAndClose() {
-        acceptor.acceptWaiting();
+        acceptor.acceptWaiting(2 * EventLoop.ACCEPT_BACKLOG);
         acceptor.close();
     }
 
--- a/src/main/java/org/xnio/nio/Acceptor.java
+++ b/src/main/java/org/xnio/nio/Acceptor.java
@@ -93,13 +93,15 @@
     }
 
     /**
-     * Accepts all connections that wait in the backlog, whatever {@link #setMaxOpen} allows. To be
+     * Accepts the connections that wait in the backlog, whatever {@link #setMaxOpen} allows. To be
      * called just before {@link #close}, which resets those that still wait.
+     *
+     * @param limit how many at the most, as others may come as fast as they are accepted
      */
-    public void acceptWaiting() {
+    public void acceptWaiting(int limit) {
         int previous = maxOpen;
         maxOpen = Integer.MAX_VALUE;
-        acceptSome(Integer.MAX_VALUE);
+        acceptSome(limit);
         maxOpen = previous;
     }
 
