--- a/src/main/java/cypressglade/http/DiscoveryWatch.java
+++ b/src/main/java/cypressglade/http/DiscoveryWatch.java
@@ -172,6 +172,7 @@
         private Connection connection;
         private XnioExecutor.Key timer = () -> false;
         private boolean isListReceived;
+        private int steps; // timers started so far
 
         private void open() {
             startTimer(limits.connectTimeout(), "connect timed out");
@@ -184,7 +185,19 @@
          */
         private void startTimer(Duration timeout, String reason) {
             timer.remove();
-            timer = loop.executeAfter(timeout, () -> restart(reason));
+            steps++;
+            int step = steps;
+            timer = loop.executeAfter(timeout, () -> restartUnlessRead(step, reason));
+        }
+
+        /** Restarts the watch, unless what it waits for has arrived while this thread was busy. */
+        private void restartUnlessRead(int step, String reason) {
+            if (connection != null && current == this) {
+                connection.readNow();
+            }
+            if (steps == step) {
+                restart(reason);
+            }
         }
 
         private void handleConnected(Connection up) {
