--- a/src/main/java/cypressglade/core/Counters.java
+++ b/src/main/java/cypressglade/core/Counters.java
@@ -45,7 +45,7 @@
         ENDED_MOOT,
         /** Attempts that a link ended without sending their first byte. */
         HELD_BACK_AT_NODE,
-        /** Attempts whose answer could not be parsed, or stalled after its begin. */
+        /** Attempts whose answer could not be parsed, and silences of answers that have begun. */
         SPOILT,
         /** Answers passed on while they arrived. */
         STREAMED,
--- a/src/main/java/cypressglade/core/Engine.java
+++ b/src/main/java/cypressglade/core/Engine.java
@@ -364,7 +364,8 @@
      * Reports how an attempt ended.
      *
      * @param attempt the attempt's number, from 0
-     * @param isOver whether the request has ended with it
+     * @param isOver whether the request has ended; its task makes no further attempts then
+     * @param stillOpen how many other attempts of the request are out
      */
     void attemptEnded(
             RequestTask<?> task,
@@ -372,16 +373,18 @@
             long node,
             AttemptResult result,
             Duration latency,
-            boolean isOver) {
+            boolean isOver,
+            int stillOpen) {
         Status status = result.status();
         ResponseMetadata metadata = result.metadata();
         post(
                 () -> {
                     task.endedAttempts++;
                     task.mayHaveRun |= status.mayHaveRun;
-                    if (isOver) {
+                    if (isOver && !task.isServed) {
                         open.remove(task.id);
                         if (status == Status.OK) {
+                            task.isServed = true;
                             stormFilter.ifPresent(
                                     filter -> filter.served(task, MonotonicClock.now()));
                         } else {
@@ -400,9 +403,27 @@
                                     isOver,
                                     metadata.usePercentPlusOne(),
                                     metadata.unitsByOthers()));
+                    if (isOver) {
+                        endUnmade(task, stillOpen);
+                    }
                 });
     }
 
+    /** Reports attempts that were ordered and that a request which has ended will not make. */
+    private void endUnmade(RequestTask<?> task, int stillOpen) {
+        while (task.orderedAttempts > task.endedAttempts + stillOpen) {
+            int attempt = task.endedAttempts + stillOpen;
+            task.endedAttempts++;
+            scheduler.handleOutcome(
+                    now(), new Outcome(task.id, attempt, task.node, Status.MOOT, 0, true, 0, 0));
+        }
+    }
+
+    /** Reports that an answer which has begun is silent, or goes on after a silence. */
+    void answerSilenceChanged(RequestTask<?> task, int attempt, boolean isSilent) {
+        post(() -> scheduler.handleAnswerSilence(now(), task.id, attempt, isSilent));
+    }
+
     /**
      * Reports that the client of a request disconnected; a write that may have run by then is
      * uncertain from now on. The task reports it as well, by {@link #withdraw}, but may do so only
@@ -433,18 +454,8 @@
                                     filter.recordIfUncertain(
                                             task, isInFlight, MonotonicClock.now()));
                     scheduler.handleWithdrawal(now(), task.id);
-                    if (!isInFlight && task.orderedAttempts > task.endedAttempts) {
-                        scheduler.handleOutcome(
-                                now(),
-                                new Outcome(
-                                        task.id,
-                                        task.orderedAttempts - 1,
-                                        task.node,
-                                        Status.MOOT,
-                                        0,
-                                        true,
-                                        0,
-                                        0));
+                    if (!isInFlight) {
+                        endUnmade(task, 0);
                     }
                 });
     }
--- a/src/main/java/cypressglade/core/NodeLink.java
+++ b/src/main/java/cypressglade/core/NodeLink.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Optional;
-import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
@@ -19,18 +18,27 @@
      * @param node the node's number in {@link NodeDirectory}
      * @param until when the attempt ends at the latest; by then its connection no longer carries it
      * @param wanted asked just before the first byte; the attempt is not sent where it says false
-     * @param ended called exactly once, by {@code until}, or as soon as the attempt has stalled
+     * @param observer told what becomes of the attempt, whose end comes by {@code until}
      */
     Attempt send(
-            long node,
-            W work,
-            Instant until,
-            BooleanSupplier wanted,
-            Consumer<AttemptResult> ended);
+            long node, W work, Instant until, BooleanSupplier wanted, AttemptObserver observer);
 
     /** Sends a node a health probe; {@code ended} is called exactly once. */
     void probe(long node, Consumer<AttemptResult> ended);
 
+    /** Is told what becomes of one attempt. */
+    @FunctionalInterface
+    interface AttemptObserver {
+        /** The attempt has ended, and its connection no longer carries it. Called exactly once. */
+        void ended(AttemptResult result);
+
+        /**
+         * An answer that has begun is silent, or goes on after a silence. Never called after the
+         * end.
+         */
+        default void silenceChanged(boolean isSilent) {}
+    }
+
     /** An attempt in flight. */
     interface Attempt {
         /** Ends the attempt early; its result is delivered all the same. */
@@ -48,16 +56,13 @@
      *     can tell them apart; empty where it cannot
      * @param rest what is still to come of the answer; empty where the answer is whole. Who does
      *     not pass it on has to cancel it
-     * @param late the real end of an attempt whose answer has begun and stalled, as it may go on
-     *     yet; empty for any other attempt
      */
     record AttemptResult(
             Scheduler.Status status,
             byte[] answer,
             ResponseMetadata metadata,
             Optional<Duration> latency,
-            Optional<AnswerStream> rest,
-            Optional<CompletableFuture<AttemptResult>> late) {
+            Optional<AnswerStream> rest) {
         private static final byte[] NONE = {};
 
         /** A result without a rest. */
@@ -66,7 +71,7 @@
                 byte[] answer,
                 ResponseMetadata metadata,
                 Optional<Duration> latency) {
-            this(status, answer, metadata, latency, Optional.empty(), Optional.empty());
+            this(status, answer, metadata, latency, Optional.empty());
         }
 
         /** A result whose latency the link cannot tell. */
@@ -92,21 +97,9 @@
                     Optional.of(latency));
         }
 
-        /** The result of an attempt whose answer has begun and stalled. */
-        public static AttemptResult stalled(
-                Scheduler.Status status, Duration latency, CompletableFuture<AttemptResult> late) {
-            return new AttemptResult(
-                    status,
-                    NONE,
-                    ResponseMetadata.NOTHING,
-                    Optional.of(latency),
-                    Optional.empty(),
-                    Optional.of(late));
-        }
-
         /** The same result with the rest of its answer still to come. */
         public AttemptResult withRest(AnswerStream stream) {
-            return new AttemptResult(status, answer, metadata, latency, Optional.of(stream), late);
+            return new AttemptResult(status, answer, metadata, latency, Optional.of(stream));
         }
     }
 
--- a/src/main/java/cypressglade/core/PendingRequest.java
+++ b/src/main/java/cypressglade/core/PendingRequest.java
@@ -1,7 +1,9 @@
 package cypressglade.core;
 
+import cypressglade.core.Scheduler.Effect;
 import cypressglade.core.Scheduler.Request;
 import cypressglade.core.Scheduler.RequestClass;
+import cypressglade.core.Scheduler.Scope;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -34,6 +36,27 @@
         expiresAt = now + request.remainingUs();
     }
 
+    /** Returns the latest time by which an answer still serves this request. */
+    long lastAnswerAt() {
+        return Math.min(arrivedAt + requestClass.deadlineUs(), expiresAt);
+    }
+
+    /** Whether its class allows another attempt, given what may have run so far. */
+    boolean isRepeatable(long now) {
+        return !mayHaveRun
+                || requestClass.effect() == Effect.SAFE
+                || requestClass.effect() == Effect.KEYED
+                        && now - firstSentAt < requestClass.keyTtlUs() / 2;
+    }
+
+    /** Whether a refusal, which invites a retry, can do no harm. */
+    boolean mayBeRefused() {
+        return attempts.isEmpty()
+                || !mayHaveRun && inFlightAttempts == 0
+                || requestClass.effect() == Effect.SAFE
+                || requestClass.effect() == Effect.KEYED && requestClass.scope() == Scope.ALL;
+    }
+
     /** Returns how long this request has awaited a probe while the process ran. */
     long awaitedProbeUs(long now) {
         return now - waitingSince - heldUpUs;
--- a/src/main/java/cypressglade/core/RequestLog.java
+++ b/src/main/java/cypressglade/core/RequestLog.java
@@ -4,13 +4,15 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayDeque;
+import java.util.EnumMap;
 import java.util.Locale;
+import java.util.Map;
 
 /**
  * Records why requests and connections ended as they did, by the ids that clients gave: every
  * close, retry, refusal and failure. The latest entries are kept in memory for {@code GET /recent};
- * unexpected ones go to the program's log as well, up to a fixed number of lines a second. Safe for
- * use by several threads.
+ * what costs a client time or its answer goes to the program's log as well, up to a fixed number of
+ * lines of each kind a second. Safe for use by several threads.
  */
 public final class RequestLog {
     private static final System.Logger LOG = System.getLogger(RequestLog.class.getName());
@@ -22,9 +24,7 @@
     public static final String NO_ID = "-";
 
     private final ArrayDeque<Entry> entries = new ArrayDeque<>();
-    private Instant periodEnd = Instant.EPOCH;
-    private int lines;
-    private int suppressed;
+    private final Map<Event, LineLimit> limits = new EnumMap<>(Event.class);
 
     /** What happened to a request or a connection; printed in lower case. */
     public enum Event {
@@ -32,8 +32,10 @@
         REFUSED,
         /** The request was answered as failed. */
         FAILED,
-        /** A further attempt was sent after one that did not serve the request. */
+        /** A further attempt was sent after or beside one that did not serve the request. */
         RETRIED,
+        /** An attempt was closed before its end, so that another could begin. */
+        GIVEN_UP,
         /** The request failed because the scheduling policy gave no order by its deadline. */
         BY_DEADLINE,
         /** The request was answered after its client's time. */
@@ -51,9 +53,11 @@
         /** One callback held the I/O thread for long; every connection waited meanwhile. */
         HELD_UP;
 
-        /** Whether the client may not have got the answer that it was owed. */
-        boolean isUnexpected() {
-            return this == BY_DEADLINE
+        /** Whether it goes to the program's log: what costs a client time or its answer. */
+        boolean isLogged() {
+            return this == RETRIED
+                    || this == GIVEN_UP
+                    || this == BY_DEADLINE
                     || this == LATE
                     || this == CUT_OFF
                     || this == STOPPED
@@ -80,24 +84,26 @@
         if (entries.size() > MAX_ENTRIES) {
             entries.poll();
         }
-        if (event.isUnexpected()) {
+        if (event.isLogged()) {
             logLimited(entry);
         }
     }
 
     private void logLimited(Entry entry) {
-        if (!entry.at().isBefore(periodEnd)) {
-            if (suppressed > 0) {
+        LineLimit limit = limits.computeIfAbsent(entry.event(), event -> new LineLimit());
+        if (!entry.at().isBefore(limit.periodEnd)) {
+            if (limit.suppressed > 0) {
                 LOG.log(
                         Level.WARNING,
-                        "{0} further requests of this kind were not logged",
-                        suppressed);
+                        "{0} further lines {1} were not logged",
+                        limit.suppressed,
+                        entry.event());
             }
-            periodEnd = entry.at().plus(PERIOD);
-            lines = 0;
-            suppressed = 0;
+            limit.periodEnd = entry.at().plus(PERIOD);
+            limit.lines = 0;
+            limit.suppressed = 0;
         }
-        if (lines++ < MAX_LINES_PER_PERIOD) {
+        if (limit.lines++ < MAX_LINES_PER_PERIOD) {
             LOG.log(
                     Level.WARNING,
                     "request {0} {1}: {2}",
@@ -105,10 +111,17 @@
                     entry.event(),
                     entry.cause());
         } else {
-            suppressed++;
+            limit.suppressed++;
         }
     }
 
+    /** The lines of one kind of event in the current period. */
+    private static final class LineLimit {
+        private Instant periodEnd = Instant.EPOCH;
+        private int lines;
+        private int suppressed;
+    }
+
     /** The entries in memory, oldest first, one a line. */
     public synchronized String text() {
         StringBuilder text = new StringBuilder();
--- a/src/main/java/cypressglade/core/RequestTask.java
+++ b/src/main/java/cypressglade/core/RequestTask.java
@@ -1,17 +1,13 @@
 package cypressglade.core;
 
 import cypressglade.core.Counters.Name;
-import cypressglade.core.NodeLink.Attempt;
 import cypressglade.core.NodeLink.AttemptResult;
 import cypressglade.core.RequestLog.Event;
 import cypressglade.core.Scheduler.Status;
 import cypressglade.storm.ClientRequest;
 import java.time.Duration;
 import java.time.Instant;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicReference;
 
 /**
@@ -44,11 +40,13 @@
     private boolean isStopped;
     private boolean isClientGone;
 
-    private final List<Attempt> stalledAttempts = new ArrayList<>();
-    private int openStalledAttempts;
+    private final OpenAttempts attempts;
 
-    /** Set when the request's own thread takes no further signals. */
-    private volatile boolean isOver;
+    /** Set when the request has ended without an answer of a node. */
+    private boolean isFinished;
+
+    /** An order to end the request that came while an attempt was out. */
+    private Optional<Signal> finalOrder = Optional.empty();
 
     /** Set as soon as the client disconnects; read just before an attempt begins. */
     private volatile boolean hasClientLeft;
@@ -59,6 +57,7 @@
     long node;
     int orderedAttempts;
     int endedAttempts;
+    boolean isServed;
 
     // Used by the engine thread alone, for its retry storm filter where it has one.
     ClientRequest stormRequest;
@@ -89,13 +88,10 @@
     /** Order: answer as failed. */
     record Fail() implements Signal {}
 
-    /** Order: cancel the attempt. */
+    /** Order: close the attempt, so that another may begin. */
     record Cancel(int attempt) implements Signal {}
 
-    private record AttemptEnded(AttemptResult result) implements Signal {}
-
-    /** A stalled attempt has ended after all. */
-    private record LateEnd(AttemptResult result) implements Signal {}
+    private record AttemptEnded(int attempt, AttemptResult result) implements Signal {}
 
     private record ClientGone() implements Signal {}
 
@@ -124,6 +120,7 @@
         this.responder = responder;
         this.link = link;
         this.log = engine.requestLog();
+        this.attempts = new OpenAttempts(request.rules());
     }
 
     /** Submits the request to the engine; from here on the pool holds it until it has ended. */
@@ -186,92 +183,153 @@
             }
             throw fault;
         } finally {
-            isOver = true;
-            stalledAttempts.forEach(Attempt::cancel);
-            discardLateEnds();
+            attempts.cancelAll();
             pool.release(this);
         }
     }
 
-    /** Gives up answers that arrived after the request had ended. */
-    private void discardLateEnds() {
-        for (Optional<Signal> signal = signals.poll();
-                signal.isPresent();
-                signal = signals.poll()) {
-            if (signal.get() instanceof LateEnd late) {
-                discard(late.result());
-            }
-        }
-    }
-
     private static void discard(AttemptResult result) {
         result.rest().ifPresent(AnswerStream::cancel);
     }
 
     private void runAttempts() {
-        int attempt = 0;
-        Status last = Status.MOOT;
-        while (true) {
-            Signal order = awaitOrder();
-            if (!(order instanceof Send send)) {
-                if (order instanceof LateEnd || finish(order)) {
-                    return;
-                }
-                continue;
-            }
-            counters.add(Name.SENT);
-            Instant sent = MonotonicClock.now();
-            if (attempt > 0) {
-                recordRetry(attempt, send, last);
-            }
-            AttemptResult result = runAttempt(send, sent);
-            last = result.status();
-            counters.countAttemptEnd(result.status());
-            boolean isEnded = handleResult(result, send);
-            engine.attemptEnded(
-                    this,
-                    attempt,
-                    send.node(),
-                    result,
-                    result.latency().orElseGet(() -> Duration.between(sent, MonotonicClock.now())),
-                    isEnded);
-            if (isEnded) {
-                return;
+        while (!attempts.isEmpty() || !isFinished && !isEnding()) {
+            handle(await(attempts.isEmpty() ? request.expiry().plus(ORDER_GRACE) : Instant.MAX));
+        }
+    }
+
+    /** Whether no further attempt may begin. */
+    private boolean isEnding() {
+        return isAnswered || isClientGone || isStopped;
+    }
+
+    private void handle(Signal signal) {
+        if (signal instanceof AttemptEnded end) {
+            handleEnd(end);
+        } else if (signal instanceof Cancel order) {
+            giveUp(order.attempt());
+        } else if (signal instanceof Send order) {
+            // One that comes too late is reported as never made, with the end of another attempt.
+            if (!isEnding()) {
+                begin(order);
             }
-            attempt++;
+        } else if (attempts.isEmpty()) {
+            isFinished = finish(signal);
+        } else {
+            handleBesideAttempts(signal);
+        }
+    }
+
+    private void handleBesideAttempts(Signal signal) {
+        if (signal instanceof Stop) {
+            isStopped = true;
+            attempts.cancelAll();
+        } else if (signal instanceof ClientGone && !isAnswered) {
+            // An attempt that has begun goes on: its result still tells about its node.
+            isClientGone = true;
+            engine.withdraw(this, true);
+        } else if (signal instanceof Refuse || signal instanceof Fail) {
+            finalOrder = Optional.of(signal);
+        }
+    }
+
+    /** Sends an attempt, whose end comes by its limit at the latest. */
+    private void begin(Send order) {
+        counters.add(Name.SENT);
+        Instant now = MonotonicClock.now();
+        Instant limit = order.limit().isZero() ? Instant.MAX : now.plus(order.limit());
+        Instant until = limit.isBefore(request.expiry()) ? limit : request.expiry();
+        if (attempts.begunCount() > 0) {
+            recordRetry(order);
         }
+        attempts.begin(
+                order.node(),
+                number ->
+                        link.send(
+                                order.node(),
+                                work,
+                                until,
+                                () -> !hasClientLeft && responder.isClientConnected(),
+                                new SignalingObserver(number)));
     }
 
-    private void recordRetry(int attempt, Send send, Status last) {
+    /** Passes on what a link reports of an attempt; called on the link's thread. */
+    private final class SignalingObserver implements NodeLink.AttemptObserver {
+        private final int attempt;
+
+        SignalingObserver(int attempt) {
+            this.attempt = attempt;
+        }
+
+        @Override
+        public void ended(AttemptResult result) {
+            signal(new AttemptEnded(attempt, result));
+        }
+
+        @Override
+        public void silenceChanged(boolean isSilent) {
+            engine.answerSilenceChanged(RequestTask.this, attempt, isSilent);
+        }
+    }
+
+    private void recordRetry(Send order) {
         log.record(
                 responder.requestId(),
                 Event.RETRIED,
                 "attempt "
-                        + (attempt + 1)
+                        + (attempts.begunCount() + 1)
                         + " of class "
                         + request.rules().requestClass().name()
                         + " at node "
-                        + send.node()
-                        + ", as the last ended "
-                        + last);
+                        + order.node()
+                        + ", "
+                        + attempts.reasonForNext());
     }
 
-    /**
-     * Answers by the result of an attempt, if it calls for it; returns whether the request ends.
-     */
-    private boolean handleResult(AttemptResult result, Send send) {
+    private void giveUp(int attempt) {
+        if (attempts.contains(attempt)) {
+            log.record(
+                    responder.requestId(),
+                    Event.GIVEN_UP,
+                    "attempt " + (attempt + 1) + ", whose answer is silent; its connection closes");
+            attempts.cancel(attempt);
+        }
+    }
+
+    /** Answers the request by the end of an attempt, if it calls for it. */
+    private void handleEnd(AttemptEnded end) {
+        AttemptResult result = end.result();
+        OpenAttempts.OpenAttempt attempt = attempts.end(end.attempt(), result.status());
+        counters.countAttemptEnd(result.status());
         if (isAnswered || isClientGone) {
             discard(result);
         } else if (result.status() == Status.OK) {
             serve(result);
-        } else if (isStopped) {
+            cancelOthers();
+        } else if (isStopped && attempts.isEmpty()) {
             log.record(
                     responder.requestId(),
                     Event.STOPPED,
-                    "an attempt was out at node " + send.node());
+                    "an attempt was out at node " + attempt.node());
             fail();
         }
-        return isAnswered || isClientGone || isStopped;
+        engine.attemptEnded(
+                this,
+                end.attempt(),
+                attempt.node(),
+                result,
+                result.latency().orElseGet(attempt::age),
+                isEnding(),
+                attempts.size());
+        if (!isEnding() && attempts.isEmpty() && finalOrder.isPresent()) {
+            isFinished = finish(finalOrder.get());
+        }
+    }
+
+    private void cancelOthers() {
+        if (request.rules().mayCancel()) {
+            attempts.cancelAll();
+        }
     }
 
     private void serve(AttemptResult result) {
@@ -284,33 +342,6 @@
         }
     }
 
-    /**
-     * Waits for the next order. An order to end the request without an answer of a node is held
-     * back while a stalled attempt may still bring one. Returns a {@link LateEnd} where one has.
-     */
-    private Signal awaitOrder() {
-        Signal held = null;
-        while (true) {
-            Signal signal = await(request.expiry().plus(ORDER_GRACE));
-            if (signal instanceof LateEnd late) {
-                openStalledAttempts--;
-                if (late.result().status() == Status.OK) {
-                    serve(late.result());
-                    engine.withdraw(this, false);
-                    return late;
-                }
-            } else if ((signal instanceof Refuse || signal instanceof Fail)
-                    && openStalledAttempts > 0) {
-                held = signal;
-            } else {
-                return held != null && signal instanceof Overdue ? held : signal;
-            }
-            if (held != null && openStalledAttempts == 0) {
-                return held;
-            }
-        }
-    }
-
     /**
      * Gives the answer that a signal calls for. Returns false where it calls for none, such as a
      * cancel that comes too late.
@@ -362,58 +393,6 @@
         responder.fail();
     }
 
-    /** Sends one attempt and waits for its end, which comes by its limit at the latest. */
-    private AttemptResult runAttempt(Send send, Instant sent) {
-        Instant until = request.expiry();
-        if (!send.limit().isZero() && sent.plus(send.limit()).isBefore(until)) {
-            until = sent.plus(send.limit());
-        }
-        Attempt inFlight =
-                link.send(
-                        send.node(),
-                        work,
-                        until,
-                        () -> !hasClientLeft && responder.isClientConnected(),
-                        result -> signal(new AttemptEnded(result)));
-        while (true) {
-            Signal signal = await(Instant.MAX);
-            if (signal instanceof AttemptEnded end) {
-                end.result().late().ifPresent(late -> watchStalled(inFlight, late));
-                return end.result();
-            } else if (signal instanceof LateEnd late) {
-                openStalledAttempts--;
-                if (late.result().status() == Status.OK && !isClientGone && !isAnswered) {
-                    serve(late.result());
-                    inFlight.cancel();
-                } else {
-                    discard(late.result());
-                }
-            } else if (signal instanceof Cancel) {
-                inFlight.cancel();
-            } else if (signal instanceof Stop) {
-                isStopped = true;
-                inFlight.cancel();
-            } else if (signal instanceof ClientGone) {
-                // An attempt that has begun goes on: its result still tells about its node.
-                isClientGone = true;
-                engine.withdraw(this, true);
-            }
-        }
-    }
-
-    /** Lets an attempt whose answer has stalled go on, until the request has ended. */
-    private void watchStalled(Attempt attempt, CompletableFuture<AttemptResult> late) {
-        openStalledAttempts++;
-        stalledAttempts.add(attempt);
-        late.thenAccept(
-                result -> {
-                    signals.add(new LateEnd(result));
-                    if (isOver) {
-                        discardLateEnds();
-                    }
-                });
-    }
-
     private Signal await(Instant until) {
         try {
             // While an attempt is in flight a wait that ends without a signal is just repeated.
--- a/src/main/java/cypressglade/core/Scheduler.java
+++ b/src/main/java/cypressglade/core/Scheduler.java
@@ -28,6 +28,12 @@
     /** Handles the start of a streamed answer; the attempt belongs to the client from now on. */
     void handleStreamStart(long nowUs, long requestId, int attempt, long node, long latencyUs);
 
+    /**
+     * Handles the silence of an answer that has begun, or its end as the answer goes on. Ignored by
+     * default.
+     */
+    default void handleAnswerSilence(long nowUs, long requestId, int attempt, boolean isSilent) {}
+
     /** Handles the withdrawal of a request, which needs no answer any more. */
     void handleWithdrawal(long nowUs, long requestId);
 
@@ -435,8 +441,15 @@
      * list the class and the plan elsewhere or not at all.
      *
      * @param maxAttempts attempts of the request
+     * @param mayHedge whether two attempts may be out at once, where the class may be repeated
+     * @param mayCancel whether an attempt may be closed before its answer or its deadline
      */
-    record RequestRules(RequestClass requestClass, Plan plan, int maxAttempts) {}
+    record RequestRules(
+            RequestClass requestClass,
+            Plan plan,
+            int maxAttempts,
+            boolean mayHedge,
+            boolean mayCancel) {}
 
     /**
      * A class of requests.
@@ -492,10 +505,10 @@
      * What the rules and the site permit. An absent number is 0 and an absent permission false.
      *
      * @param maxAttempts attempts of one request
-     * @param mayCancel whether attempts may be cancelled; the policy doesn't
+     * @param mayCancel whether an attempt may be closed before its answer or its deadline
      * @param mayProbe whether nodes may be probed
      * @param mayMessagePeers whether instances may exchange messages; the policy doesn't
-     * @param mayHedge whether a request may have two attempts in flight; the policy doesn't hedge
+     * @param mayHedge whether a request may have two attempts in flight
      * @param mayAdviseRetry whether a refusal may advise when to send the request again
      * @param maxRetryAfterUs the longest time that it may advise
      * @param stopSendingWithinUs from the settings; the policy doesn't use it
@@ -604,7 +617,12 @@
 
         /** Returns the rules of a request that arrives under these settings. */
         public RequestRules rules(RequestClass requestClass, Plan plan) {
-            return new RequestRules(requestClass, plan, limits.maxAttempts());
+            return new RequestRules(
+                    requestClass,
+                    plan,
+                    limits.maxAttempts(),
+                    limits.mayHedge(),
+                    limits.mayCancel());
         }
 
         /**
--- a/src/main/java/cypressglade/core/SchedulingPolicy.java
+++ b/src/main/java/cypressglade/core/SchedulingPolicy.java
@@ -60,8 +60,6 @@
     private static final double WORTH_EXPONENT = 1.0; // how fast it falls with the worth of a unit
     // Part of the target latency that must be left when a client's retry arrives.
     private static final double MIN_RETRY_FRACTION = 0.15;
-    // Refusals to remember, for recognizing retries, before expired ones are removed.
-    private static final int MIN_REMEMBERED_REFUSALS = 64;
     private static final long MIN_RETRY_ADVICE_MICROS = 50_000;
 
     // Rates of volumes and of the whole demand.
@@ -101,10 +99,6 @@
 
     // Failures of nodes, recognized by their symptoms.
 
-    // A node is silent when nothing comes back for this long, which healthy pauses stay below,
-    private static final long MIN_SILENCE_MICROS = 350_000;
-    // and for so many times the expected answer time.
-    private static final double SILENCE_LATENCY_FACTOR = 3;
     // Interval between probes of a silent node by the instances in turn.
     private static final long SILENT_PROBE_INTERVAL_MICROS = 62_500;
     private static final long FULL_NODE_PAUSE_MICROS = 30_000; // after a node refused as full
@@ -126,11 +120,11 @@
     private final Map<Long, TrackedVolume> volumes = new LinkedHashMap<>();
     private final Map<Long, ArrayDeque<PendingRequest>> orderedQueues = new HashMap<>();
     private final Map<Long, Long> keyPausedUntil = new HashMap<>();
-    private final ArrayDeque<Long> requestTimes = new ArrayDeque<>();
-    private final ArrayDeque<Long> furtherTimes = new ArrayDeque<>();
-    private final LinkedHashMap<Long, PendingRequest> refusedRequests = new LinkedHashMap<>();
+    private final FurtherAttemptBudget furtherAttempts = new FurtherAttemptBudget();
+    private final RefusedRequests refusedRequests = new RefusedRequests();
+    private final SilentAnswers silentAnswers = new SilentAnswers();
     private int minInFlight, maxInFlight;
-    private int waitingCount, inFlightCount, refusedCleanupSize;
+    private int waitingCount, inFlightCount;
     int answerCount;
     final long createdAt;
     // Averages over all nodes.
@@ -217,9 +211,7 @@
 
     @Override
     public void handleRequest(long now, Request request) {
-        if (limits.hasAttemptBudget()) {
-            requestTimes.add(now);
-        }
+        furtherAttempts.countRequest(now, limits);
         demandUnits =
                 demandUnits * Math.exp(-(now - demandUpdatedAt) / DEMAND_MEMORY_MICROS)
                         + request.units();
@@ -246,7 +238,9 @@
                         && pending.requestClass.worth() <= minWorth
                         && pending.requestClass.targetLatencyUs()
                                 >= MIN_BACKGROUND_TARGET_RATIO * minTarget;
-        pending.targetAt = originalArrival(now, pending) + pending.requestClass.targetLatencyUs();
+        pending.targetAt =
+                refusedRequests.originalArrival(now, pending)
+                        + pending.requestClass.targetLatencyUs();
         pending.deadline = Math.min(pending.targetAt, pending.expiresAt);
         if (pending.requestClass.keepOrder() && request.key() != 0) {
             pending.ordered = true;
@@ -262,20 +256,21 @@
     @Override
     public void handleOutcome(long now, Outcome outcome) {
         PendingRequest pending = openRequests.get(outcome.requestId());
-        int index = outcome.attempt();
-        SentAttempt attempt =
-                pending == null || index >= pending.attempts.size()
-                        ? null
-                        : pending.attempts.set(index, null);
+        SentAttempt attempt = openAttempt(pending, outcome.attempt());
         if (attempt == null) {
             return;
         }
+        pending.attempts.set(outcome.attempt(), null);
         TrackedNode node = attempt.node();
+        silentAnswers.end(attempt);
         pending.inFlightAttempts--;
         inFlightCount--;
         node.removeAttempt(attempt);
         learnOutcome(now, node, attempt, outcome);
         pending.done |= outcome.requestDone();
+        if (pending.done) {
+            dequeue(pending); // a further attempt that has not left
+        }
         if (outcome.status().mayHaveRun && outcome.status() != Status.OK) {
             pending.mayHaveRun = true;
             if (pending.ordered && outcome.status() != Status.ERROR) {
@@ -284,7 +279,7 @@
                         pending.request.key(), now + limits.orderedKeyPauseUs()); // may still run
             }
         }
-        if (!pending.done && pending.inFlightAttempts == 0) {
+        if (!pending.done && pending.inFlightAttempts == 0 && pending.node == null) {
             attemptAgain(now, pending, node, outcome.status());
         }
         removeIfDone(now, pending);
@@ -296,6 +291,59 @@
         // Nothing to decide: the outcome comes with the end of the request.
     }
 
+    @Override
+    public void handleAnswerSilence(long now, long requestId, int index, boolean isSilent) {
+        PendingRequest pending = openRequests.get(requestId);
+        SentAttempt attempt = openAttempt(pending, index);
+        if (attempt == null) {
+            return;
+        }
+        silentAnswers.end(attempt);
+        if (isSilent && !pending.done) {
+            silentAnswers.begin(now, attempt, index);
+            // Bytes came, so the node lives; what is silent must not use up its bound.
+            attempt.node().removeAttempt(attempt);
+            dispatch(now, attempt.node());
+        }
+    }
+
+    private static SentAttempt openAttempt(PendingRequest pending, int index) {
+        return pending == null || index >= pending.attempts.size()
+                ? null
+                : pending.attempts.get(index);
+    }
+
+    /** Lets another attempt begin beside a silent one, or closes it so that one may follow. */
+    private void decideOnSilence(long now, SilentAnswers.Silence silence) {
+        PendingRequest pending = silence.attempt().pending();
+        TrackedNode node = silence.attempt().node();
+        pending.mayHaveRun = true;
+        boolean isFurtherAllowed =
+                !pending.done
+                        && pending.inFlightAttempts == 1
+                        && pending.node == null
+                        && mayRepeat(now, pending);
+        double freshUs = predictCompletion(now, node, pending, node.unitsAhead(pending));
+        RequestRules rules = pending.request.rules().orElseThrow();
+        switch (SilentAnswers.decide(
+                now,
+                silence,
+                freshUs,
+                isFurtherAllowed
+                        && rules.mayHedge()
+                        && pending.requestClass.effect() == Effect.SAFE,
+                isFurtherAllowed && rules.mayCancel())) {
+            case HEDGE -> enqueueFurther(now, pending, node);
+            case GIVE_UP -> {
+                silentAnswers.end(silence.attempt());
+                noteAnswer(now, node, true);
+                pending.deadline = pending.lastAnswerAt();
+                actions.cancel(pending.request.id(), silence.index());
+            }
+            default -> {}
+        }
+    }
+
     @Override
     public void handleWithdrawal(long now, long requestId) {
         PendingRequest pending = openRequests.get(requestId);
@@ -367,22 +415,14 @@
 
     @Override
     public QueueView queueView(long now) {
-        Map<String, ClassQueue> queues = new LinkedHashMap<>();
-        settings.classNames().forEach(name -> queues.put(name, new ClassQueue(name, 0, 0)));
-        for (TrackedNode node : nodes.values()) {
-            Stream.concat(node.queue.stream(), node.awaitingProbe.stream())
-                    .forEach(pending -> countWaiting(now, pending, queues));
-        }
-        return new QueueView(List.copyOf(queues.values()), unserved.clone());
-    }
-
-    private static void countWaiting(
-            long now, PendingRequest pending, Map<String, ClassQueue> queues) {
-        String name = pending.requestClass.name();
-        queues.put(
-                name,
-                queues.getOrDefault(name, new ClassQueue(name, 0, 0))
-                        .withRequest(now - pending.arrivedAt));
+        Stream<PendingRequest> waiting =
+                nodes.values().stream()
+                        .flatMap(
+                                node ->
+                                        Stream.concat(
+                                                node.queue.stream(), node.awaitingProbe.stream()));
+        return new QueueView(
+                QueueCount.byClass(now, settings.classNames(), waiting), unserved.clone());
     }
 
     @Override
@@ -392,6 +432,14 @@
             return;
         }
         tickScheduled = false;
+        try {
+            tick(now);
+        } finally {
+            scheduleTick(now);
+        }
+    }
+
+    private void tick(long now) {
         if (now - excessCheckedAt >= EXCESS_CHECK_INTERVAL_MICROS) {
             excessCheckedAt = now;
             volumes.values().removeIf(volume -> volume.canBeForgotten(now));
@@ -409,30 +457,11 @@
             excuseHoldUp(now, node);
             admitWithoutProbe(now, node);
             answerExpired(now, node);
-            dropLostAttempts(now, node);
+            node.dropLostAttempts(now);
             probeIfSilent(now, node);
             dispatch(now, node);
         }
-        scheduleTick(now);
-    }
-
-    /**
-     * Returns when the original of a client's retry arrived: the request that was refused, is like
-     * it and expires at the same time. For other requests this is their own arrival.
-     */
-    private long originalArrival(long now, PendingRequest pending) {
-        if (refusedRequests.size() > refusedCleanupSize) { // a retry storm leaves thousands
-            refusedRequests.values().removeIf(before -> before.expiresAt < now);
-            refusedCleanupSize = MIN_REMEMBERED_REFUSALS + 2 * refusedRequests.size();
-        }
-        for (int step = -1; step <= 1; step++) {
-            PendingRequest before = refusedRequests.remove(pending.retryFingerprint(step));
-            if (before != null && before.expiresAt >= now) {
-                pending.originalArrivedAt = before.originalArrivedAt;
-                break;
-            }
-        }
-        return pending.originalArrivedAt;
+        silentAnswers.current().forEach(silence -> decideOnSilence(now, silence));
     }
 
     /** Puts a request into a node's queue, lets it await a probe, or refuses it. */
@@ -703,8 +732,7 @@
      * whether its place in the queue changed.
      */
     private boolean deferBackground(TrackedNode node, PendingRequest pending, int at) {
-        long last =
-                Math.min(pending.arrivedAt + pending.requestClass.deadlineUs(), pending.expiresAt);
+        long last = pending.lastAnswerAt();
         if (pending.deadline >= last
                 || at + 1 >= node.queue.size()
                 || node.queue.get(at + 1).background) {
@@ -756,7 +784,7 @@
             pending.firstSentAt = now;
             pending.volume.limitUnits -= pending.request.units();
         } else {
-            furtherTimes.add(now);
+            furtherAttempts.countFurther(now);
         }
         SentAttempt attempt =
                 new SentAttempt(
@@ -776,26 +804,32 @@
 
     /** Queues a further attempt after a failed one, where allowed and in time, or answers. */
     private void attemptAgain(long now, PendingRequest pending, TrackedNode node, Status status) {
-        boolean allowed =
-                status != Status.TIMEOUT
-                        && status != Status.MOOT
-                        && pending.attempts.size()
-                                < Math.min(pending.maxAttempts, limits.maxAttempts())
-                        && mayAttemptFurther(now, pending);
+        boolean mayFollow = status != Status.TIMEOUT && status != Status.MOOT;
+        if (!mayFollow || !mayRepeat(now, pending) || !enqueueFurther(now, pending, node)) {
+            answerUnserved(now, pending, FULL_NODE_PAUSE_MICROS, Reason.ATTEMPT_FAILED);
+        }
+    }
+
+    private boolean mayRepeat(long now, PendingRequest pending) {
+        return pending.attempts.size() < Math.min(pending.maxAttempts, limits.maxAttempts())
+                && mayAttemptFurther(now, pending);
+    }
+
+    /** Queues a further attempt if it can be answered in time; returns whether it did. */
+    private boolean enqueueFurther(long now, PendingRequest pending, TrackedNode node) {
         TrackedNode next =
-                allowed && pending.request.shard() < 0 && !pending.mayHaveRun
+                pending.request.shard() < 0 && !pending.mayHaveRun
                         ? chooseNode(now, pending)
                         : node;
-        if (allowed
-                && next != null
-                && isUsable(now, next)
-                && now + predictCompletion(now, next, pending, next.unitsAhead(pending))
-                        <= pending.deadline) {
-            enqueue(next, pending);
-            dispatch(now, next);
-        } else {
-            answerUnserved(now, pending, FULL_NODE_PAUSE_MICROS, Reason.ATTEMPT_FAILED);
+        if (next == null
+                || !isUsable(now, next)
+                || now + predictCompletion(now, next, pending, next.unitsAhead(pending))
+                        > pending.deadline) {
+            return false;
         }
+        enqueue(next, pending);
+        dispatch(now, next);
+        return true;
     }
 
     /**
@@ -803,39 +837,27 @@
      * a queued one leaves, as the budget window has moved by then.
      */
     private boolean mayAttemptFurther(long now, PendingRequest pending) {
-        boolean repeatable =
-                !pending.mayHaveRun
-                        || pending.requestClass.effect() == Effect.SAFE
-                        || pending.requestClass.effect() == Effect.KEYED
-                                && now - pending.firstSentAt < pending.requestClass.keyTtlUs() / 2;
-        furtherTimes.removeIf(at -> at < now - limits.budgetWindowUs());
-        requestTimes.removeIf(at -> at < now - limits.budgetWindowUs() + settings.tickUs());
-        return repeatable
-                && (!limits.hasAttemptBudget()
-                        || furtherTimes.size() + 1
-                                <= limits.freeFurtherAttempts()
-                                        + limits.furtherAttemptsRatio() * requestTimes.size());
+        return pending.isRepeatable(now)
+                && furtherAttempts.allowsOneMore(now, limits, settings.tickUs());
     }
 
     /** Gives the final answer: refused where that is allowed, failed where it may have run. */
     private void answerUnserved(long now, PendingRequest pending, long adviceUs, Reason reason) {
+        if (pending.inFlightAttempts > 0) {
+            dequeue(pending); // the attempt that is out decides
+            return;
+        }
         unserved[reason.ordinal()]++;
         dequeue(pending);
         pending.done = true;
-        boolean harmless =
-                pending.attempts.isEmpty()
-                        || !pending.mayHaveRun && pending.inFlightAttempts == 0
-                        || pending.requestClass.effect() == Effect.SAFE
-                        || pending.requestClass.effect() == Effect.KEYED
-                                && pending.requestClass.scope() == Scope.ALL;
-        if (harmless) {
+        if (pending.mayBeRefused()) {
             long advice =
                     Math.min(Math.max(adviceUs, MIN_RETRY_ADVICE_MICROS), limits.maxRetryAfterUs());
             actions.refuse(pending.request.id(), limits.mayAdviseRetry() ? advice : 0);
         } else {
             actions.fail(pending.request.id());
         }
-        refusedRequests.put(pending.retryFingerprint(0), pending);
+        refusedRequests.add(pending);
         removeIfDone(now, pending);
     }
 
@@ -866,7 +888,7 @@
                 // If only answers in time counted, clients with short deadlines would make an
                 // overloaded node look fast. A hang shows as silence and says nothing on speed.
                 if (outcome.latencyUs() > attempt.expectedUs()
-                        && outcome.latencyUs() < MIN_SILENCE_MICROS) {
+                        && outcome.latencyUs() < TrackedNode.MIN_SILENCE_MICROS) {
                     learnSpeed(now, node, attempt, outcome.latencyUs());
                 }
             }
@@ -953,27 +975,8 @@
         SentAttempt oldest = node.inFlight.peek();
         return node.down
                 || oldest != null
-                        && isOverdue(now, oldest, Math.max(oldest.sentAt(), node.answeredAt));
-    }
-
-    private static boolean isOverdue(long now, SentAttempt attempt, long since) {
-        return now - since
-                > Math.max(MIN_SILENCE_MICROS, SILENCE_LATENCY_FACTOR * attempt.expectedUs());
-    }
-
-    /**
-     * Removes attempts from those in flight that are far over their time while later ones were
-     * answered: their answers are lost, or the node dropped them, and they would use up the bound.
-     * Handles lost answers and what a hang leaves behind; may exceed the bound by one request when
-     * an expensive one still runs.
-     */
-    private void dropLostAttempts(long now, TrackedNode node) {
-        for (SentAttempt attempt : List.copyOf(node.inFlight)) {
-            if (isOverdue(now, attempt, attempt.sentAt())
-                    && node.answeredAt > attempt.sentAt() + MIN_SILENCE_MICROS) {
-                node.removeAttempt(attempt);
-            }
-        }
+                        && TrackedNode.isOverdue(
+                                now, oldest, Math.max(oldest.sentAt(), node.answeredAt));
     }
 
     private void probeIfSilent(long now, TrackedNode node) {
--- a/src/main/java/cypressglade/core/TrackedNode.java
+++ b/src/main/java/cypressglade/core/TrackedNode.java
@@ -6,12 +6,18 @@
 import cypressglade.core.Scheduler.State;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.List;
 
 /**
  * What this instance has learned of a storage node, and what it has queued and in flight there.
  * Belongs to the policy's thread; times are in microseconds.
  */
 final class TrackedNode {
+    // A node is silent when nothing comes back for this long, which healthy pauses stay below,
+    static final long MIN_SILENCE_MICROS = 350_000;
+    // and for so many times the expected answer time.
+    private static final double SILENCE_LATENCY_FACTOR = 3;
+
     // Number of keys that a node is taken to have in its cache.
     private static final int MAX_RECENT_KEYS = 3;
 
@@ -169,6 +175,27 @@
         }
     }
 
+    /** Whether nothing has come back for so long that an attempt is taken for lost. */
+    static boolean isOverdue(long now, SentAttempt attempt, long since) {
+        return now - since
+                > Math.max(MIN_SILENCE_MICROS, SILENCE_LATENCY_FACTOR * attempt.expectedUs());
+    }
+
+    /**
+     * Removes attempts from those in flight that are far over their time while later ones were
+     * answered: their answers are lost, or the node dropped them, and they would use up the bound.
+     * Handles lost answers and what a hang leaves behind; may exceed the bound by one request when
+     * an expensive one still runs.
+     */
+    void dropLostAttempts(long now) {
+        for (SentAttempt attempt : List.copyOf(inFlight)) {
+            if (isOverdue(now, attempt, attempt.sentAt())
+                    && answeredAt > attempt.sentAt() + MIN_SILENCE_MICROS) {
+                removeAttempt(attempt);
+            }
+        }
+    }
+
     /** Returns the units that may be in flight; background requests may use only a part. */
     double maxInFlightUnits(long now) {
         double units =
--- a/src/main/java/cypressglade/http/NodeClient.java
+++ b/src/main/java/cypressglade/http/NodeClient.java
@@ -37,8 +37,8 @@
     /** Bytes of one read of an answer that is held back: what all of them hold grows by little. */
     private static final int HELD_READ_BYTES = 4 * 1024;
 
-    /** Time without input after which another attempt may begin beside that of an answer. */
-    private static final Duration STALL_TIME = Duration.ofMillis(200);
+    /** Time without input after which an answer that has begun is reported as silent. */
+    private static final Duration SILENCE_TIME = Duration.ofMillis(200);
 
     private final NodePool pool;
     private volatile List<String> loadNames;
@@ -74,9 +74,8 @@
             NodeRequest request,
             Instant deadline,
             BooleanSupplier wanted,
-            Consumer<AttemptResult> resultConsumer) {
-        return new HttpExchange(node, request::encode, false, deadline, wanted, resultConsumer)
-                .start();
+            AttemptObserver observer) {
+        return new HttpExchange(node, request::encode, false, deadline, wanted, observer).start();
     }
 
     @Override
@@ -88,7 +87,7 @@
                         true,
                         deadline,
                         () -> true,
-                        resultConsumer)
+                        resultConsumer::accept)
                 .start();
     }
 
@@ -104,8 +103,8 @@
                 boolean isProbe,
                 Instant deadline,
                 BooleanSupplier wanted,
-                Consumer<AttemptResult> resultConsumer) {
-            pool.super(node, deadline, wanted, resultConsumer);
+                AttemptObserver observer) {
+            pool.super(node, deadline, wanted, observer);
             this.message = message;
             this.isProbe = isProbe;
         }
@@ -131,8 +130,8 @@
         }
 
         @Override
-        protected Optional<Duration> stallTime() {
-            return isProbe ? Optional.empty() : Optional.of(STALL_TIME);
+        protected Optional<Duration> silenceTime() {
+            return isProbe ? Optional.empty() : Optional.of(SILENCE_TIME);
         }
 
         @Override
--- a/src/main/java/cypressglade/nbd/NbdNodeLink.java
+++ b/src/main/java/cypressglade/nbd/NbdNodeLink.java
@@ -50,14 +50,14 @@
             NodeCommand command,
             Instant deadline,
             BooleanSupplier isWanted,
-            Consumer<AttemptResult> ended) {
+            AttemptObserver observer) {
         if (command.requiredNode() != NodeCommand.ANY_NODE && command.requiredNode() != node) {
-            ended.accept(
+            observer.ended(
                     AttemptResult.withoutResponse(
                             Status.MOOT)); // the node with the writes to flush is gone
             return () -> {};
         }
-        return new CommandExchange(node, command, deadline, isWanted, ended).start();
+        return new CommandExchange(node, command, deadline, isWanted, observer).start();
     }
 
     @Override
@@ -74,8 +74,8 @@
                 NbdConfig.Export export,
                 Instant deadline,
                 BooleanSupplier isWanted,
-                Consumer<AttemptResult> ended) {
-            pool.super(node, deadline, isWanted, ended);
+                AttemptObserver observer) {
+            pool.super(node, deadline, isWanted, observer);
             this.export = export;
         }
 
@@ -105,8 +105,8 @@
                 NodeCommand command,
                 Instant deadline,
                 BooleanSupplier isWanted,
-                Consumer<AttemptResult> ended) {
-            super(node, command.export(), deadline, isWanted, ended);
+                AttemptObserver observer) {
+            super(node, command.export(), deadline, isWanted, observer);
             this.command = command;
             synchronized (NbdNodeLink.this) {
                 cookie = ++lastCookie;
@@ -146,7 +146,7 @@
                     config.exports().get(0),
                     MonotonicClock.now().plus(NodePool.PROBE_TIMEOUT),
                     () -> true,
-                    ended);
+                    ended::accept);
         }
 
         @Override
--- a/src/main/java/cypressglade/nbd/Transmission.java
+++ b/src/main/java/cypressglade/nbd/Transmission.java
@@ -484,7 +484,7 @@
                 NodeCommand nodeCommand,
                 Instant deadline,
                 BooleanSupplier isWanted,
-                Consumer<AttemptResult> ended) {
+                AttemptObserver observer) {
             return listener.link()
                     .send(
                             node,
@@ -498,7 +498,7 @@
                                             new WrittenNode(
                                                     shard, node)); // attempts end on the I/O thread
                                 }
-                                ended.accept(result);
+                                observer.ended(result);
                             });
         }
 
--- a/src/main/java/cypressglade/net/CallbackBudget.java
+++ b/src/main/java/cypressglade/net/CallbackBudget.java
@@ -49,6 +49,23 @@
         }
     }
 
+    /**
+     * Runs one turn of a callback that gives many their turns: with a budget of its own, and
+     * reported by its own owner.
+     */
+    void runTurn(Object owner, Runnable turn) {
+        long outerStart = startedAt;
+        bytes = 0;
+        startedAt = System.nanoTime();
+        try {
+            turn.run();
+        } finally {
+            report(owner);
+            startedAt = outerStart + elapsed(); // what is reported here is not the outer one's
+            bytes = 0;
+        }
+    }
+
     /** Counts input that the running callback has read. */
     void spend(int count) {
         bytes += count;
--- a/src/main/java/cypressglade/net/NodePool.java
+++ b/src/main/java/cypressglade/net/NodePool.java
@@ -5,6 +5,7 @@
 import cypressglade.core.MonotonicClock;
 import cypressglade.core.NodeDirectory;
 import cypressglade.core.NodeLink.Attempt;
+import cypressglade.core.NodeLink.AttemptObserver;
 import cypressglade.core.NodeLink.AttemptResult;
 import cypressglade.core.NodeLink.ResponseMetadata;
 import cypressglade.core.Scheduler.Status;
@@ -23,9 +24,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
-import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
-import java.util.function.Consumer;
 import org.xnio.XnioExecutor;
 
 /**
@@ -225,17 +224,16 @@
         private final long node;
         private final Instant deadline;
         private final BooleanSupplier wanted;
-        private final Consumer<AttemptResult> resultConsumer;
+        private final AttemptObserver observer;
         private String poolKey;
         private EventLoop.PendingConnection pendingConnection;
         private Connection connection;
         private XnioExecutor.Key timer;
         private Instant startedAt = MonotonicClock.now();
         private boolean requestStarted;
-        private int readCount;
         private Instant lastReadAt = startedAt;
         private XnioExecutor.Key silenceTimer;
-        private Optional<CompletableFuture<AttemptResult>> late = Optional.empty();
+        private boolean isSilent;
         private Optional<Stream> stream = Optional.empty();
         private boolean finished;
 
@@ -246,17 +244,14 @@
          * @param deadline the deadline of the attempt, by the monotonic clock
          * @param wanted whether the answer is still needed; asked before connecting and before the
          *     request is written
-         * @param resultConsumer gets the result, once, on the I/O thread
+         * @param observer is told what becomes of the exchange, on the I/O thread
          */
         protected Exchange(
-                long node,
-                Instant deadline,
-                BooleanSupplier wanted,
-                Consumer<AttemptResult> resultConsumer) {
+                long node, Instant deadline, BooleanSupplier wanted, AttemptObserver observer) {
             this.node = node;
             this.deadline = deadline;
             this.wanted = wanted;
-            this.resultConsumer = resultConsumer;
+            this.observer = observer;
         }
 
         /**
@@ -296,11 +291,10 @@
         protected abstract Optional<Status> read(ByteBuffer in) throws IOException;
 
         /**
-         * The time without input after which an answer that has begun is reported as stalled, so
-         * that another attempt may begin; the exchange goes on all the same. Empty where it is not
-         * reported.
+         * The time without input after which an answer that has begun is reported as silent; the
+         * exchange goes on all the same. Empty where it is not reported.
          */
-        protected Optional<Duration> stallTime() {
+        protected Optional<Duration> silenceTime() {
             return Optional.empty();
         }
 
@@ -476,8 +470,8 @@
         @Override
         public final void received(ByteBuffer in) {
             Optional<Status> status;
-            readCount++;
             lastReadAt = MonotonicClock.now();
+            setSilent(false);
             try {
                 status = read(in);
             } catch (IOException unreadable) {
@@ -503,8 +497,8 @@
         private void handlePart() {
             if (stream.isEmpty() && connection.unsentBytes() == 0 && mustPassOn()) {
                 beginStream();
-            } else if (stream.isEmpty() && late.isEmpty()) {
-                stallTime().ifPresent(this::watchStall);
+            } else if (stream.isEmpty()) {
+                silenceTime().ifPresent(this::watchSilence);
             }
         }
 
@@ -518,33 +512,37 @@
          * exchange, which is cancelled at its end: with a timer for each read, the pending timers
          * kept the bodies of recently ended exchanges in the heap.
          */
-        private void watchStall(Duration stallTime) {
+        private void watchSilence(Duration silenceTime) {
             if (silenceTimer == null) {
-                silenceTimer = loop.executeAfter(stallTime, () -> checkStall(stallTime));
+                silenceTimer =
+                        loop.executeAfter(
+                                silenceTime.minus(silentFor()), () -> checkSilence(silenceTime));
             }
         }
 
-        private void checkStall(Duration stallTime) {
+        private void checkSilence(Duration silenceTime) {
             silenceTimer = null;
-            Duration elapsed = Duration.between(lastReadAt, MonotonicClock.now());
-            if (elapsed.compareTo(stallTime) < 0) {
-                watchStall(stallTime.minus(elapsed));
+            connection.readNow(); // input that arrived while this thread was busy
+            if (finished || stream.isPresent()) {
                 return;
             }
-            int readsBefore = readCount;
-            connection.readNow(); // input that arrived while this thread was busy
-            if (!finished && stream.isEmpty() && readCount == readsBefore) {
-                reportStall();
+            if (silentFor().compareTo(silenceTime) < 0) {
+                watchSilence(silenceTime);
+            } else {
+                counters.add(Counters.Name.SPOILT);
+                setSilent(true);
             }
         }
 
-        /** Reports the attempt as failed, though its answer may go on; its real end comes later. */
-        private void reportStall() {
-            counters.add(Counters.Name.SPOILT);
-            CompletableFuture<AttemptResult> realEnd = new CompletableFuture<>();
-            late = Optional.of(realEnd);
-            resultConsumer.accept(
-                    AttemptResult.stalled(statusIfWritten(Status.ERROR), latency(), realEnd));
+        private Duration silentFor() {
+            return Duration.between(lastReadAt, MonotonicClock.now());
+        }
+
+        private void setSilent(boolean silent) {
+            if (isSilent != silent) {
+                isSilent = silent;
+                observer.silenceChanged(silent);
+            }
         }
 
         /** Hands over what has arrived of the answer, and from here on passes on what comes. */
@@ -556,18 +554,10 @@
             streams.add(rest);
             counters.add(Counters.Name.STREAMED);
             rest.watchSilence();
-            report(result(Status.OK).withRest(rest));
+            observer.ended(result(Status.OK).withRest(rest));
             release();
         }
 
-        private void report(AttemptResult result) {
-            if (late.isPresent()) {
-                late.get().complete(result);
-            } else {
-                resultConsumer.accept(result);
-            }
-        }
-
         private AttemptResult result(Status status) {
             return AttemptResult.fromResponse(status, answer(), responseMetadata(), latency());
         }
@@ -747,7 +737,7 @@
             }
             AttemptResult result = result(status);
             release();
-            report(result);
+            observer.ended(result);
         }
     }
 }
--- a/src/main/java/cypressglade/net/TurnQueue.java
+++ b/src/main/java/cypressglade/net/TurnQueue.java
@@ -40,7 +40,8 @@
     private void run() {
         long start = System.nanoTime();
         while (!waiting.isEmpty() && System.nanoTime() - start < MAX_TIME.toNanos()) {
-            waiting.poll().run();
+            Runnable turn = waiting.poll();
+            loop.budget().runTurn(turn, turn);
         }
         isScheduled = !waiting.isEmpty();
         if (isScheduled) {
--- a/src/test/java/cypressglade/core/RequestTaskTest.java
+++ b/src/test/java/cypressglade/core/RequestTaskTest.java
@@ -71,13 +71,13 @@
                         String work,
                         Instant until,
                         BooleanSupplier wanted,
-                        Consumer<AttemptResult> ended) {
+                        AttemptObserver observer) {
                     if (isLinkFailing) {
                         throw new IllegalStateException("stands for an error of the machine");
                     }
                     isWanted = wanted;
-                    sent.add(ended);
-                    return () -> ended.accept(AttemptResult.withoutResponse(Status.CANCELLED));
+                    sent.add(observer::ended);
+                    return () -> observer.ended(AttemptResult.withoutResponse(Status.CANCELLED));
                 }
 
                 @Override
--- a/src/test/java/cypressglade/core/SchedulingPolicyTest.java
+++ b/src/test/java/cypressglade/core/SchedulingPolicyTest.java
@@ -625,18 +625,17 @@
             instance.advance(1500);
         }
         for (String table :
-                List.of(
-                        "nodes",
-                        "volumes",
-                        "keyPausedUntil",
-                        "refusedRequests",
-                        "openRequests",
-                        "orderedQueues")) {
+                List.of("nodes", "volumes", "keyPausedUntil", "openRequests", "orderedQueues")) {
             java.lang.reflect.Field field = SchedulingPolicy.class.getDeclaredField(table);
             field.setAccessible(true);
             int size = ((java.util.Map<?, ?>) field.get(instance.policy())).size();
             assertTrue(size < 60, table + " holds " + size);
         }
+        java.lang.reflect.Field refused =
+                SchedulingPolicy.class.getDeclaredField("refusedRequests");
+        refused.setAccessible(true);
+        int size = ((RefusedRequests) refused.get(instance.policy())).size();
+        assertTrue(size < 60, "refusedRequests holds " + size);
     }
 
     @Test
--- a/src/test/java/cypressglade/process/SecondCopyIT.java
+++ b/src/test/java/cypressglade/process/SecondCopyIT.java
@@ -82,6 +82,10 @@
         return new SmallSite(folder, new HttpPeer(script), edit);
     }
 
+    private static String forbidCancels(String text) {
+        return text.replace("\"mayCancel\":true,", "");
+    }
+
     /** Asks several times at once, and returns how long the last answer took. */
     private static long askAll(SmallSite site, String method, int expected) {
         ExecutorService clients = Executors.newFixedThreadPool(REQUESTS);
@@ -132,6 +136,15 @@
         }
     }
 
+    /** Guards against closing an attempt early where the settings forbid to cancel any. */
+    @Test
+    void answerThatNeverEndsIsKeptWhereNoAttemptMayBeCancelled() throws Exception {
+        try (SmallSite site = site(pausing(Form.LENGTH, NEVER_MS), SecondCopyIT::forbidCancels)) {
+            askAll(site, "GET", 503);
+            assertThat(((HttpPeer) site.node).requests).hasSize(REQUESTS);
+        }
+    }
+
     /** Guards against waiting for a pause to end where the settings allow a second copy. */
     @Test
     void readIsSentAgainBesideAPauseWhereTheSettingsAllowIt() throws Exception {
--- a/src/test/java/cypressglade/standin/StandIn.java
+++ b/src/test/java/cypressglade/standin/StandIn.java
@@ -21,7 +21,7 @@
 
     public final AtomicInteger connections = new AtomicInteger();
 
-    /** Judges what this server sees. */
+    /** Judges what this server sees; {@link #close} fails where a rule was broken. */
     public final RuleJudge judge = new RuleJudge();
 
     private final ServerSocket server;
@@ -120,5 +120,8 @@
             Thread.currentThread().interrupt();
         }
         breakAll();
+        if (!judge.violations().isEmpty()) {
+            throw new AssertionError("rules broken: " + judge.violations());
+        }
     }
 }
