Hedge no class that keeps its order, and judge a silent write by its end

Found while the policy's part got its tests: OpenAttempts and the policy each had their own condition for a hedge, and both allowed one to a class that runs one request of a key at a time. A silent attempt also counted as one that may have run, so that a write that was turned away after a pause would have been failed and not sent again. Change: OpenAttempts.allowsHedge is the one place that tells; silence changes nothing of what may have run.

--- a/src/main/java/cypressglade/core/OpenAttempts.java
+++ b/src/main/java/cypressglade/core/OpenAttempts.java
@@ -35,8 +35,17 @@
 
     /** Creates the attempts of a request, none of which has begun. */
     OpenAttempts(RequestRules rules) {
-        boolean mayHedge = rules.mayHedge() && rules.requestClass().effect() == Effect.SAFE;
-        maxOpen = mayHedge ? MAX_HEDGED : 1;
+        maxOpen = allowsHedge(rules) ? MAX_HEDGED : 1;
+    }
+
+    /**
+     * Whether two attempts of a request may be out at once: the settings permit it, and its class
+     * may be repeated without restriction and is not to run one request of a key at a time.
+     */
+    static boolean allowsHedge(RequestRules rules) {
+        return rules.mayHedge()
+                && rules.requestClass().effect() == Effect.SAFE
+                && !rules.requestClass().keepOrder();
     }
 
     /** Whether another attempt may begin now. */
--- a/src/main/java/cypressglade/core/PendingRequest.java
+++ b/src/main/java/cypressglade/core/PendingRequest.java
@@ -43,8 +43,12 @@
 
     /** Whether its class allows another attempt, given what may have run so far. */
     boolean isRepeatable(long now) {
-        return !mayHaveRun
-                || requestClass.effect() == Effect.SAFE
+        return !mayHaveRun || isRepeatableAfterRun(now);
+    }
+
+    /** Whether its class allows another attempt although one may have run. */
+    boolean isRepeatableAfterRun(long now) {
+        return requestClass.effect() == Effect.SAFE
                 || requestClass.effect() == Effect.KEYED
                         && now - firstSentAt < requestClass.keyTtlUs() / 2;
     }
--- a/src/main/java/cypressglade/core/Scheduler.java
+++ b/src/main/java/cypressglade/core/Scheduler.java
@@ -441,7 +441,7 @@
      * list the class and the plan elsewhere or not at all.
      *
      * @param maxAttempts attempts of the request
-     * @param mayHedge whether two attempts may be out at once, where the class may be repeated
+     * @param mayHedge whether the settings permit two attempts of a request at once
      * @param mayCancel whether an attempt may be closed before its answer or its deadline
      */
     record RequestRules(
--- a/src/main/java/cypressglade/core/SchedulingPolicy.java
+++ b/src/main/java/cypressglade/core/SchedulingPolicy.java
@@ -317,11 +317,11 @@
     private void decideOnSilence(long now, SilentAnswers.Silence silence) {
         PendingRequest pending = silence.attempt().pending();
         TrackedNode node = silence.attempt().node();
-        pending.mayHaveRun = true;
         boolean isFurtherAllowed =
                 !pending.done
                         && pending.inFlightAttempts == 1
                         && pending.node == null
+                        && pending.isRepeatableAfterRun(now)
                         && mayRepeat(now, pending);
         double freshUs = predictCompletion(now, node, pending, node.unitsAhead(pending));
         RequestRules rules = pending.request.rules().orElseThrow();
@@ -329,9 +329,7 @@
                 now,
                 silence,
                 freshUs,
-                isFurtherAllowed
-                        && rules.mayHedge()
-                        && pending.requestClass.effect() == Effect.SAFE,
+                isFurtherAllowed && OpenAttempts.allowsHedge(rules),
                 isFurtherAllowed && rules.mayCancel())) {
             case HEDGE -> enqueueFurther(now, pending, node);
             case GIVE_UP -> {
--- a/src/test/java/cypressglade/core/PolicyHarness.java
+++ b/src/test/java/cypressglade/core/PolicyHarness.java
@@ -41,6 +41,8 @@
     Scope scope = Scope.CELL;
     boolean listOnRequest;
     boolean mayProbe = true;
+    boolean mayHedge = true;
+    boolean mayCancel = true;
     boolean hasAttemptBudget;
     double freeFurtherAttempts;
     double coldNodeUnits = 40;
@@ -136,6 +138,10 @@
                         0));
     }
 
+    void reportSilence(long id, int attempt, boolean isSilent) {
+        policy.handleAnswerSilence(now, id, attempt, isSilent);
+    }
+
     void withdraw(long id) {
         policy.handleWithdrawal(now, id);
     }
@@ -192,10 +198,10 @@
         Limits limits =
                 new Limits(
                         maxAttempts,
-                        true,
+                        mayCancel,
                         mayProbe,
                         false,
-                        true,
+                        mayHedge,
                         true,
                         500 * MS,
                         1000 * MS,
--- a/src/test/java/cypressglade/process/SecondCopyIT.java
+++ b/src/test/java/cypressglade/process/SecondCopyIT.java
@@ -155,6 +155,14 @@
         }
     }
 
+    /** Guards against failing a write that pauses while it is turned away. */
+    @Test
+    void writeThatIsTurnedAwayAfterAPauseIsSentAgain() throws Exception {
+        try (SmallSite site = site(pausing(Form.TURNED_AWAY, PAUSE_MS), UnaryOperator.identity())) {
+            askAll(site, "PUT", OK);
+        }
+    }
+
     /** Guards against a second copy of a write, whatever the settings allow to reads. */
     @Test
     void writeIsNeverSentAgainBesideAPause() throws Exception {
