--- a/src/test/java/cypressglade/process/SoakIT.java
+++ b/src/test/java/cypressglade/process/SoakIT.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import cypressglade.standin.HttpPeer.Message;
+import cypressglade.standin.Site;
 import java.io.DataInputStream;
 import java.io.EOFException;
 import java.io.IOException;
@@ -19,6 +20,7 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.UnaryOperator;
 import java.util.stream.LongStream;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -62,7 +64,12 @@
     @MethodSource("seeds")
     void rulesHoldUnderLeavesFloodsCrowdsAndSignals(long seed) throws Exception {
         SoakNode node = new SoakNode(seed);
-        try (SmallSite site = new SmallSite(folder, node)) {
+        boolean mayCopy = seed % 4 == 1;
+        if (mayCopy) {
+            node.judge.allowSecondCopies();
+        }
+        UnaryOperator<String> edit = mayCopy ? Site::allowSecondCopies : UnaryOperator.identity();
+        try (SmallSite site = new SmallSite(folder, node, edit)) {
             List<Thread> clients = startClients(site, new Random(seed));
             play(site, seed);
             over.set(true);
@@ -89,6 +96,7 @@
             plays.add(() -> leaveUntilOver(site, random));
         }
         plays.add(() -> floodUntilOver(site));
+        plays.add(() -> sendEmptyLinesUntilOver(site));
         return plays.stream()
                 .map(
                         play -> {
@@ -306,7 +314,22 @@
         }
     }
 
+    /** Writes what makes no request, as fast as it is taken. */
+    private void sendEmptyLinesUntilOver(SmallSite site) {
+        String lines = "\r\n".repeat(32 * 1024);
+        while (!over.get()) {
+            try (Socket socket = site.scheduler.connect()) {
+                while (!over.get()) {
+                    SmallSite.send(socket, lines);
+                }
+            } catch (IOException ended) {
+                RealScheduler.pause(20);
+            }
+        }
+    }
+
     private void judge(SoakNode node) {
+        broken.addAll(node.judge.violations());
         for (SoakNode.Attempt attempt : node.attempts) {
             long left = leftAt.getOrDefault(attempt.id(), Long.MAX_VALUE - LEFT_NANOS);
             if (attempt.nanos() > left + LEFT_NANOS) {
--- a/src/test/java/cypressglade/process/SoakNode.java
+++ b/src/test/java/cypressglade/process/SoakNode.java
@@ -16,6 +16,9 @@
 final class SoakNode extends StandIn {
     private static final int LONG_BYTES = 300_000;
 
+    /** Longer than any client waits. */
+    private static final long NEVER_MS = 4000;
+
     /** When each attempt's request was whole. */
     final Queue<Attempt> attempts = new ConcurrentLinkedQueue<>();
 
@@ -47,7 +50,7 @@
             if (request.first().startsWith("GET /healthz")) {
                 HttpPeer.answer(200, "", "").answer(request, out);
             } else {
-                answer(request, out);
+                judged(request, out, this::answer);
             }
         }
     }
@@ -73,6 +76,10 @@
             writeInPieces(out, body(id, random.nextInt(5000)), kind % 3, 3, 250);
         } else if (kind < 34) {
             writeInPieces(out, body(id, LONG_BYTES), kind % 3, 10, 30);
+        } else if (kind < 36) {
+            HttpPeer.write(out, "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\n" + id);
+            Thread.sleep(NEVER_MS);
+            throw new IOException("the answer never ends");
         } else {
             HttpPeer.answer(200, "", body(id, random.nextInt(2000))).answer(request, out);
         }
