--- a/src/test/java/cypressglade/process/FloodIT.java
+++ b/src/test/java/cypressglade/process/FloodIT.java
@@ -3,6 +3,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import cypressglade.standin.HttpPeer;
+import cypressglade.standin.HttpPeer.Message;
+import java.io.DataOutputStream;
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.file.Path;
@@ -29,6 +31,7 @@
 
     @TempDir Path folder;
     private SmallSite site;
+    private HttpPeer.Script script = HttpPeer.answer(200, "", "data");
     private final AtomicInteger served = new AtomicInteger();
     private final AtomicInteger refused = new AtomicInteger();
     private final AtomicInteger late = new AtomicInteger();
@@ -97,8 +100,58 @@
         play(noise.name(), NOISE_SENDERS, over -> flood(over, noise::first, () -> block, true));
     }
 
+    /** What a node writes without end, as an answer to a request of one volume. */
+    private enum Pour {
+        INTERIM_ANSWERS("", "HTTP/1.1 102 Processing\r\n\r\n"),
+        EMPTY_LINES("", "\r\n"),
+        HEAD_FIELDS("HTTP/1.1 200 OK\r\n", "a: b\r\n"),
+        CHUNKS("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"),
+        BODY("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", "x"),
+        ERROR_BODY("HTTP/1.1 500 X\r\nConnection: close\r\n\r\n", "x");
+
+        private final String start;
+        private final String repeated;
+
+        Pour(String start, String repeated) {
+            this.start = start;
+            this.repeated = repeated;
+        }
+
+        void answer(Message request, DataOutputStream out) throws Exception {
+            if (!request.first().contains(OTHER_VOLUME)) {
+                HttpPeer.answer(200, "", "data").answer(request, out);
+                return;
+            }
+            String block = repeated.repeat(BLOCK_BYTES / repeated.length());
+            HttpPeer.write(out, start);
+            while (true) { // until the connection is closed
+                HttpPeer.write(out, block);
+            }
+        }
+    }
+
+    /** Guards against work for one node that ends only when the node pauses. */
+    @ParameterizedTest
+    @EnumSource(Pour.class)
+    void othersAreServedInTimeBesideAnswersThatPourAtFullSpeed(Pour pour) throws Exception {
+        script = pour::answer;
+        play(
+                "answers of " + pour,
+                NOISE_SENDERS,
+                over ->
+                        flood(
+                                over,
+                                () -> "",
+                                () -> {
+                                    RealScheduler.pause(WAIT_MS / 2);
+                                    return SmallSite.read(WAIT_MS)
+                                            .replaceFirst("/00000003b4d60021/", OTHER_VOLUME);
+                                },
+                                true));
+    }
+
     private void play(String name, int senders, Load.Client sender) throws Exception {
-        try (SmallSite played = new SmallSite(folder, HttpPeer.answer(200, "", "data"))) {
+        try (SmallSite played = new SmallSite(folder, script)) {
             site = played;
             assertThat(site.ask(SmallSite.read(WAIT_MS)).status()).isEqualTo(200);
             try (Load flood = new Load(senders, sender);
