Give the stand-ins of each test run a loopback address of their own

Cause: NodePoolTest once saw 165 bytes at its node where its own message has one byte, beside schedulers of other runs on the same machine. All stand-ins listened on one address, so that a process whose node has ended may find another run's server by its port. That it was this is not shown; from here on it cannot be. Measured: NodePoolTest, NbdFrontTest, PeersTest, MainTest and FloodIT pass.

--- a/src/test/java/cypressglade/standin/StandIn.java
+++ b/src/test/java/cypressglade/standin/StandIn.java
@@ -8,6 +8,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.UnknownHostException;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -17,6 +18,11 @@
  * speaks.
  */
 public abstract class StandIn implements AutoCloseable {
+    /**
+     * Of this test run alone, so that no process of another run finds a server here by its port.
+     */
+    private static final InetAddress ADDRESS = ownLoopbackAddress();
+
     private static final ThreadLocal<Socket> SERVED = new ThreadLocal<>();
 
     public final AtomicInteger connections = new AtomicInteger();
@@ -35,7 +41,7 @@
 
     protected StandIn() {
         try {
-            server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+            server = new ServerSocket(0, 50, ADDRESS);
         } catch (IOException failed) {
             throw new java.io.UncheckedIOException(failed);
         }
@@ -44,6 +50,16 @@
         accepter.start();
     }
 
+    private static InetAddress ownLoopbackAddress() {
+        long run = ProcessHandle.current().pid();
+        byte[] address = {127, (byte) (1 + run / 250 % 250), (byte) (1 + run % 250), 1};
+        try {
+            return InetAddress.getByAddress(address);
+        } catch (UnknownHostException impossible) {
+            throw new IllegalStateException(impossible);
+        }
+    }
+
     protected abstract void talk(DataInputStream in, DataOutputStream out) throws Exception;
 
     /** The connection that the calling thread serves. */
@@ -69,7 +85,7 @@
     }
 
     public String hostPort() {
-        return "127.0.0.1:" + server.getLocalPort();
+        return ADDRESS.getHostAddress() + ":" + server.getLocalPort();
     }
 
     private void accept() {
