--- a/src/main/java/cypressglade/net/NodePool.java
+++ b/src/main/java/cypressglade/net/NodePool.java
@@ -548,6 +548,7 @@
         /** Hands over what has arrived of the answer, and from here on passes on what comes. */
         private void beginStream() {
             removeTimers();
+            isSilent = false; // its observer knows the attempt as ended from here on
             connection.pauseReading();
             Stream rest = new Stream();
             stream = Optional.of(rest);
