Play second copies with random forms, pauses, waits and permissions, over seeds

Change: SecondCopyIT plays twelve requests at once a seed, each with a form, a pause and a wait of its own, under settings that allow second copies or not; every pause that leaves time is served, and the judge sees no rule broken. -Dcopy.seeds=1-50 plays more than the four of a build.

--- a/src/test/java/cypressglade/process/SecondCopyIT.java
+++ b/src/test/java/cypressglade/process/SecondCopyIT.java
@@ -10,16 +10,20 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.function.UnaryOperator;
+import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.MethodSource;
 
 /**
  * A request has two attempts out at once only where the settings and its class allow it; the
@@ -30,6 +34,11 @@
     private static final long PAUSE_MS = 450;
     private static final long NEVER_MS = 10_000;
     private static final int REQUESTS = 6;
+    private static final int RANDOM_REQUESTS = 12;
+
+    /** Time for an answer after a pause, in a JVM that has just started. */
+    private static final int AMPLE_MS = 500;
+
     private static final int OK = 200;
     private static final String ID = "x-trace-id";
 
@@ -113,6 +122,81 @@
         }
     }
 
+    static LongStream seeds() {
+        String[] range = System.getProperty("copy.seeds", "1-4").split("-");
+        return LongStream.rangeClosed(Long.parseLong(range[0]), Long.parseLong(range[1]));
+    }
+
+    /** Guards against what no fixed play has: other pauses, waits and forms at the same time. */
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void rulesHoldAndPausesAreServedWithRandomFormsAndPauses(long seed) throws Exception {
+        Random random = new Random(seed);
+        boolean mayCopy = random.nextBoolean();
+        UnaryOperator<String> edit = mayCopy ? Site::allowSecondCopies : UnaryOperator.identity();
+        Map<String, RandomPause> pauses = new ConcurrentHashMap<>();
+        ExecutorService clients = Executors.newFixedThreadPool(RANDOM_REQUESTS);
+        try (SmallSite site = site(pausing(pauses), edit)) {
+            if (mayCopy) {
+                site.node.judge.allowSecondCopies();
+            }
+            List<CompletableFuture<Void>> checks = new ArrayList<>();
+            for (int i = 0; i < RANDOM_REQUESTS; i++) {
+                RandomPause pause = RandomPause.of(random);
+                String request = pause.request();
+                pauses.put(request.replaceAll("(?s).*X-Trace-Id: (\\S+).*", "$1"), pause);
+                checks.add(CompletableFuture.runAsync(() -> check(site, request, pause), clients));
+            }
+            for (CompletableFuture<Void> check : checks) {
+                check.join();
+            }
+        } finally {
+            clients.shutdown();
+        }
+    }
+
+    private record RandomPause(Form form, int waitMs, long pauseMs, boolean isWrite) {
+        static RandomPause of(Random random) {
+            Form form = Form.values()[random.nextInt(Form.values().length)];
+            return new RandomPause(
+                    form, 600 + random.nextInt(1200), random.nextInt(900), random.nextInt(4) == 0);
+        }
+
+        String request() {
+            return isWrite ? SmallSite.write(waitMs, "x") : SmallSite.read(waitMs);
+        }
+
+        /** Whether the pause leaves time enough for an answer, and for another attempt after it. */
+        boolean mustBeServed() {
+            boolean mayFail = form == Form.NOTHING || isWrite && form == Form.ERROR;
+            return !mayFail && pauseMs < waitMs - AMPLE_MS;
+        }
+    }
+
+    private HttpPeer.Script pausing(Map<String, RandomPause> pauses) {
+        return (request, out) -> {
+            String id = request.headers().get(ID);
+            if (begun.add(id)) {
+                answerWithAPause(pauses.get(id).form(), pauses.get(id).pauseMs(), out);
+            } else {
+                HttpPeer.answer(OK, "", "data").answer(request, out);
+            }
+        };
+    }
+
+    private static void check(SmallSite site, String request, RandomPause pause) {
+        try {
+            int status = site.ask(request).status();
+            if (pause.mustBeServed()) {
+                assertThat(status).as("%s", pause).isEqualTo(OK);
+            } else {
+                assertThat(status).as("%s", pause).isIn(OK, 502, 503);
+            }
+        } catch (IOException failed) {
+            throw new java.io.UncheckedIOException(failed);
+        }
+    }
+
     /** Guards against another attempt beside an answer that pauses. */
     @ParameterizedTest
     @EnumSource(Form.class)
