Have the judge look at a connection itself, and count a client's wait from its last byte

Change: the judge reads the earlier connection itself for 1 ms, which tells its end; the clocks of node and soak are read before. A client's wait begins when its request is written. FloodIT's first, cold request is not timed.

--- a/src/test/java/cypressglade/process/FloodIT.java
+++ b/src/test/java/cypressglade/process/FloodIT.java
@@ -153,7 +153,7 @@
     private void play(String name, int senders, Load.Client sender) throws Exception {
         try (SmallSite played = new SmallSite(folder, script)) {
             site = played;
-            assertThat(site.ask(SmallSite.read(WAIT_MS)).status()).isEqualTo(200);
+            assertThat(site.askUntimed(SmallSite.read(WAIT_MS)).status()).isEqualTo(200);
             try (Load flood = new Load(senders, sender);
                     Load others = new Load(OTHERS, this::ask)) {
                 RealScheduler.pause(FLOOD_MS);
--- a/src/test/java/cypressglade/process/SmallSite.java
+++ b/src/test/java/cypressglade/process/SmallSite.java
@@ -83,6 +83,7 @@
     Message ask(Socket client, String request) throws IOException {
         node.judge.sent(request);
         send(client, request);
+        node.judge.written(request);
         PushbackInputStream in = new PushbackInputStream(client.getInputStream());
         int first = in.read();
         long firstByteAt = System.nanoTime();
--- a/src/test/java/cypressglade/process/SoakNode.java
+++ b/src/test/java/cypressglade/process/SoakNode.java
@@ -50,6 +50,7 @@
             if (request.first().startsWith("GET /healthz")) {
                 HttpPeer.answer(200, "", "").answer(request, out);
             } else {
+                attempts.add(new Attempt(request.headers().get("x-trace-id"), System.nanoTime()));
                 judged(request, out, this::answer);
             }
         }
@@ -57,7 +58,6 @@
 
     private void answer(Message request, DataOutputStream out) throws Exception {
         String id = request.headers().get("x-trace-id");
-        attempts.add(new Attempt(id, System.nanoTime()));
         Random random = new Random(seed * 31 + id.hashCode() + attempts.size());
         int kind = random.nextInt(100);
         if (kind < 8) {
--- a/src/test/java/cypressglade/standin/RuleJudge.java
+++ b/src/test/java/cypressglade/standin/RuleJudge.java
@@ -3,6 +3,7 @@
 import cypressglade.standin.HttpPeer.Message;
 import java.io.IOException;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -16,6 +17,9 @@
 public final class RuleJudge {
     private static final long NANOS_PER_MS = 1_000_000;
 
+    /** How long a look at a connection waits for its end, which the kernel knows already. */
+    private static final int PEEK_MS = 1;
+
     /** An answer that comes later than this after its client's time is lost. */
     private static final long LATE_MS = 500;
 
@@ -60,18 +64,37 @@
         }
 
         private boolean isOut() {
+            return !isOver && isOpen();
+        }
+
+        /** Nothing comes behind a request but the end of its connection. */
+        private boolean isOpen() {
             try {
-                return !isOver && TcpState.isOpenBothWays(connection);
-            } catch (IOException unreadable) {
-                throw new java.io.UncheckedIOException(unreadable);
+                connection.setSoTimeout(PEEK_MS);
+                boolean isOpen = connection.getInputStream().read() >= 0;
+                connection.setSoTimeout(0);
+                return isOpen;
+            } catch (SocketTimeoutException nothingCame) {
+                return restore();
+            } catch (IOException reset) {
+                return false;
+            }
+        }
+
+        private boolean restore() {
+            try {
+                connection.setSoTimeout(0);
+                return true;
+            } catch (IOException closedMeanwhile) {
+                return false;
             }
         }
     }
 
     /** A request as its client sent it last. */
     private static final class Sent {
-        private final long at = System.nanoTime();
         private final long waitMs;
+        private long at = System.nanoTime();
         private boolean isAnswered;
         private long leftAt = Long.MAX_VALUE;
 
@@ -95,14 +118,17 @@
         return copies;
     }
 
-    /** A node has read the last byte of an attempt. */
-    public synchronized Span begin(Message request, Socket connection) {
+    /**
+     * A node has read the last byte of an attempt.
+     *
+     * @param now when it had, by {@link System#nanoTime}
+     */
+    public synchronized Span begin(Message request, Socket connection, long now) {
         Span span = new Span(connection);
         String id = request.headers().get(ID);
         if (id == null) {
             return span;
         }
-        long now = System.nanoTime();
         List<Span> earlier = spans.computeIfAbsent(id, key -> new ArrayList<>());
         checkCopies(id, request, earlier);
         if (now - drainedAt > DRAIN_GRACE_MS * NANOS_PER_MS) {
@@ -143,6 +169,18 @@
         }
     }
 
+    /** A client has written its request whole, so that its wait begins. */
+    public synchronized void written(String request) {
+        Sent sent = request.contains("X-Trace-Id: ") ? find(request) : null;
+        if (sent != null) {
+            sent.at = System.nanoTime();
+        }
+    }
+
+    private Sent find(String request) {
+        return requests.get(header(request, "X-Trace-Id"));
+    }
+
     /** A client sends a request, as text; the id and the time are those of its headers. */
     public synchronized void sent(String request) {
         if (request.contains("X-Trace-Id: ")) {
@@ -160,7 +198,7 @@
             return;
         }
         String id = header(request, "X-Trace-Id");
-        Sent sent = requests.get(id);
+        Sent sent = find(request);
         long timedAt = bodyBytes > TIMED_WHOLE_BYTES ? firstByteAt : System.nanoTime();
         long lateNanos = timedAt - sent.at - sent.waitMs * NANOS_PER_MS;
         sent.isAnswered = true;
@@ -171,7 +209,7 @@
 
     /** A client has closed its connection, or reset it. */
     public synchronized void left(String request) {
-        requests.get(header(request, "X-Trace-Id")).leftAt = System.nanoTime();
+        find(request).leftAt = System.nanoTime();
     }
 
     /** Forgets a request that is owed no answer, such as one behind a leave. */
--- a/src/test/java/cypressglade/standin/StandIn.java
+++ b/src/test/java/cypressglade/standin/StandIn.java
@@ -71,7 +71,7 @@
     protected final void judged(
             HttpPeer.Message request, DataOutputStream out, HttpPeer.Script script)
             throws Exception {
-        RuleJudge.Span attempt = judge.begin(request, connection());
+        RuleJudge.Span attempt = judge.begin(request, connection(), System.nanoTime());
         AnswerHead head = new AnswerHead(out);
         try {
             script.answer(request, new DataOutputStream(head));
