--- a/src/test/java/cypressglade/standin/RuleJudge.java
+++ b/src/test/java/cypressglade/standin/RuleJudge.java
@@ -26,15 +26,9 @@
     /** Of an answer with a longer body the first byte is timed, not the last. */
     private static final int TIMED_WHOLE_BYTES = 64 * 1024;
 
-    /** An attempt that begins later than this after its client's close breaks the rule. */
-    private static final long LEFT_MS = 100;
-
     /** By how much the time passed on to a node may exceed what its client has left. */
     private static final long DEADLINE_SLACK_MS = 150;
 
-    /** Time after a node was told to drain in which attempts may still begin. */
-    private static final long DRAIN_GRACE_MS = 500;
-
     private static final String ID = "x-trace-id";
     private static final String TIME = "x-expires-in-ms";
 
@@ -42,7 +36,6 @@
     private final Map<String, Sent> requests = new HashMap<>();
     private final List<String> violations = new ArrayList<>();
     private boolean mayCopy;
-    private long drainedAt = Long.MAX_VALUE;
     private int copies;
 
     /** One attempt at a node. */
@@ -96,7 +89,6 @@
         private final long waitMs;
         private long at = System.nanoTime();
         private boolean isAnswered;
-        private long leftAt = Long.MAX_VALUE;
 
         private Sent(long waitMs) {
             this.waitMs = waitMs;
@@ -108,11 +100,6 @@
         mayCopy = true;
     }
 
-    /** The node is told to be draining, from now on. */
-    public synchronized void drained() {
-        drainedAt = System.nanoTime();
-    }
-
     /** How many attempts began while an earlier one of their request was out. */
     public synchronized int copies() {
         return copies;
@@ -131,9 +118,6 @@
         }
         List<Span> earlier = spans.computeIfAbsent(id, key -> new ArrayList<>());
         checkCopies(id, request, earlier);
-        if (now - drainedAt > DRAIN_GRACE_MS * NANOS_PER_MS) {
-            violations.add("drain: " + id + " begun " + millis(now - drainedAt) + " late");
-        }
         Sent sent = requests.get(id);
         if (sent != null) {
             checkClient(id, request, sent, now);
@@ -157,10 +141,6 @@
     }
 
     private void checkClient(String id, Message request, Sent sent, long now) {
-        if (sent.leftAt != Long.MAX_VALUE && now - sent.leftAt > LEFT_MS * NANOS_PER_MS) {
-            violations.add(
-                    "lost: " + id + " begun " + millis(now - sent.leftAt) + " after its leave");
-        }
         long leftMs = sent.waitMs - (now - sent.at) / NANOS_PER_MS;
         long passedOnMs = Long.parseLong(request.headers().getOrDefault(TIME, "0"));
         if (passedOnMs > leftMs + DEADLINE_SLACK_MS) {
@@ -207,24 +187,14 @@
         }
     }
 
-    /** A client has closed its connection, or reset it. */
-    public synchronized void left(String request) {
-        find(request).leftAt = System.nanoTime();
-    }
-
-    /** Forgets a request that is owed no answer, such as one behind a leave. */
-    public synchronized void excuse(String request) {
-        requests.remove(header(request, "X-Trace-Id"));
-    }
-
     /** What broke a rule so far; a request that was not answered in time is lost. */
     public synchronized List<String> violations() {
         long now = System.nanoTime();
         List<String> all = new ArrayList<>(violations);
         requests.forEach(
                 (id, sent) -> {
-                    boolean isOwed = !sent.isAnswered && sent.leftAt == Long.MAX_VALUE;
-                    if (isOwed && now - sent.at > (sent.waitMs + LATE_MS) * NANOS_PER_MS) {
+                    if (!sent.isAnswered
+                            && now - sent.at > (sent.waitMs + LATE_MS) * NANOS_PER_MS) {
                         all.add("lost: " + id + " was never answered");
                     }
                 });
