--- a/src/test/java/cypressglade/process/SoakIT.java
+++ b/src/test/java/cypressglade/process/SoakIT.java
@@ -289,7 +289,7 @@
                 if (request.startsWith("PUT") && random.nextBoolean()) {
                     RealScheduler.pause(random.nextInt(1000));
                     leftAt.remove(id(request));
-                    site.ask(request);
+                    askAfterLeave(site, request);
                 }
             } catch (IOException ended) {
                 RealScheduler.pause(20);
@@ -297,6 +297,16 @@
         }
     }
 
+    /** Sends a request again after its client has left; it is owed an answer, a refusal or not. */
+    private void askAfterLeave(SmallSite site, String request) {
+        long sent = System.nanoTime();
+        try {
+            site.askUntimed(request);
+        } catch (IOException unanswered) {
+            report(request, sent, "unanswered after a leave: " + unanswered);
+        }
+    }
+
     private void floodUntilOver(SmallSite site) {
         String requests = "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n".repeat(20);
         byte[] buffer = new byte[64 * 1024];
--- a/src/test/java/cypressglade/standin/AnswerHead.java
+++ b/src/test/java/cypressglade/standin/AnswerHead.java
@@ -5,11 +5,12 @@
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
 
-/** Passes an answer on, and keeps its first bytes. */
+/** Passes an answer on, and keeps its first bytes and the time of its last write. */
 final class AnswerHead extends FilterOutputStream {
     private static final int KEPT_BYTES = 512;
 
     private final StringBuilder start = new StringBuilder();
+    private long lastWrite = System.nanoTime();
 
     AnswerHead(OutputStream out) {
         super(out);
@@ -27,6 +28,17 @@
         out.write(bytes, offset, length);
     }
 
+    @Override
+    public void flush() throws IOException {
+        lastWrite = System.nanoTime();
+        super.flush();
+    }
+
+    /** When the last write to the connection began, by {@link System#nanoTime}. */
+    long lastWrite() {
+        return lastWrite;
+    }
+
     private void keep(byte[] bytes, int offset, int length) {
         int count = Math.min(length, KEPT_BYTES - start.length());
         start.append(new String(bytes, offset, Math.max(0, count), StandardCharsets.ISO_8859_1));
--- a/src/test/java/cypressglade/standin/RuleJudge.java
+++ b/src/test/java/cypressglade/standin/RuleJudge.java
@@ -35,24 +35,41 @@
     private final Map<String, List<Span>> spans = new HashMap<>();
     private final Map<String, Sent> requests = new HashMap<>();
     private final List<String> violations = new ArrayList<>();
+    private final List<Overlap> overlaps = new ArrayList<>();
+    private final List<Repeat> repeats = new ArrayList<>();
     private boolean mayCopy;
-    private int copies;
+
+    /** An attempt that began while an earlier one was out, unless that proves to be answered. */
+    private record Overlap(String id, Span earlier, long begunAt, boolean isWrite) {
+        private boolean isProven() {
+            return !earlier.isOver || earlier.answeredAt > begunAt;
+        }
+    }
+
+    /** An attempt of a write after another, which is harmless where that one never ran. */
+    private record Repeat(String id, Span earlier) {}
 
     /** One attempt at a node. */
     public final class Span {
         private final Socket connection;
         private boolean isOver;
         private boolean neverRan;
+        private long answeredAt;
 
         private Span(Socket connection) {
             this.connection = connection;
         }
 
-        /** The answer is written, or the node has given the attempt up. */
-        public void end(boolean hasNeverRan) {
+        /**
+         * The answer is written, or the node has given the attempt up.
+         *
+         * @param lastWrite when the last write of the answer began
+         */
+        public void end(boolean hasNeverRan, long lastWrite) {
             synchronized (RuleJudge.this) {
                 isOver = true;
                 neverRan = hasNeverRan;
+                answeredAt = lastWrite;
             }
         }
 
@@ -102,7 +119,7 @@
 
     /** How many attempts began while an earlier one of their request was out. */
     public synchronized int copies() {
-        return copies;
+        return (int) overlaps.stream().filter(Overlap::isProven).count();
     }
 
     /**
@@ -117,7 +134,7 @@
             return span;
         }
         List<Span> earlier = spans.computeIfAbsent(id, key -> new ArrayList<>());
-        checkCopies(id, request, earlier);
+        checkCopies(id, request, earlier, now);
         Sent sent = requests.get(id);
         if (sent != null) {
             checkClient(id, request, sent, now);
@@ -126,17 +143,16 @@
         return span;
     }
 
-    private void checkCopies(String id, Message request, List<Span> earlier) {
+    private void checkCopies(String id, Message request, List<Span> earlier, long now) {
         boolean isWrite = !request.first().startsWith("GET ");
         boolean isKeyed = request.headers().containsKey("idempotency-key");
-        if (earlier.stream().anyMatch(Span::isOut)) {
-            copies++;
-            if (!mayCopy || isWrite) {
-                violations.add("duplicate: " + id + " has two attempts out at once");
+        for (Span span : earlier) {
+            if (span.isOut()) {
+                overlaps.add(new Overlap(id, span, now, isWrite));
+            }
+            if (isWrite && !isKeyed) {
+                repeats.add(new Repeat(id, span));
             }
-        }
-        if (isWrite && !isKeyed && earlier.stream().anyMatch(span -> !span.neverRan)) {
-            violations.add("duplicate: " + id + " was sent again and may have run");
         }
     }
 
@@ -191,6 +207,22 @@
     public synchronized List<String> violations() {
         long now = System.nanoTime();
         List<String> all = new ArrayList<>(violations);
+        overlaps.stream()
+                .filter(overlap -> overlap.isProven() && (!mayCopy || overlap.isWrite()))
+                .forEach(
+                        overlap ->
+                                all.add(
+                                        "duplicate: "
+                                                + overlap.id()
+                                                + " has two attempts out at once"));
+        repeats.stream()
+                .filter(repeat -> !repeat.earlier().neverRan)
+                .forEach(
+                        repeat ->
+                                all.add(
+                                        "duplicate: "
+                                                + repeat.id()
+                                                + " was sent again and may have run"));
         requests.forEach(
                 (id, sent) -> {
                     if (!sent.isAnswered
--- a/src/test/java/cypressglade/standin/StandIn.java
+++ b/src/test/java/cypressglade/standin/StandIn.java
@@ -76,7 +76,7 @@
         try {
             script.answer(request, new DataOutputStream(head));
         } finally {
-            attempt.end(head.saysNeverRan());
+            attempt.end(head.saysNeverRan(), head.lastWrite());
         }
     }
 
