Show that a request is refused where its callback was held up before it is looked at

Cause: readNow asks the running callback's budget of 10 ms before its first read. A thread that lost its core in between has spent it, so the client is not looked at, and counts as unknown. The same check lets an NBD client's leave, a node's answer and a word of discovery go unseen.

The tests: a callback that was held for 100 ms finds a silent peer unread (CallbackBudgetTest); a process held up for 30 ms after each read of a socket (fault 'slow') refuses each request (HeldUpIT, request 0).

--- a/src/test/c/faults.c
+++ b/src/test/c/faults.c
@@ -6,6 +6,7 @@
  *   connect  connect fails with EADDRNOTAVAIL
  *   stall    a thread is held up for 150 ms after a wait of a few ms that no event ended, as a timer's is
  *   late     a thread is held up for 250 ms between each wait that an event ended and what it does then
+ *   slow     a thread is held up for 30 ms after each read of a socket that brought bytes
  *   disk     opening for writing, renaming and syncing fail with ENOSPC or EIO on paths that hold "cypressglade-"
  *   back     the wall clock is an hour behind
  *   ahead    the wall clock is an hour ahead
@@ -21,11 +22,12 @@
 #include <string.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
+#include <sys/stat.h>
 #include <sys/syscall.h>
 #include <time.h>
 #include <unistd.h>
 
-enum { SHORT_WAIT_MS = 5, STALL_MS = 150, LATE_MS = 250, STEP_S = 3600 };
+enum { SHORT_WAIT_MS = 5, STALL_MS = 150, LATE_MS = 250, SLOW_MS = 30, STEP_S = 3600 };
 
 static int on(const char *fault) {
     const char *directory = getenv("FAULT_DIR");
@@ -86,6 +88,34 @@
     return ready;
 }
 
+static int is_socket(int file) {
+    struct stat status;
+    return fstat(file, &status) == 0 && S_ISSOCK(status.st_mode);
+}
+
+static ssize_t after_read(int file, ssize_t count) {
+    if (count > 0 && is_socket(file) && on("slow")) {
+        hold_up(SLOW_MS);
+    }
+    return count;
+}
+
+ssize_t read(int file, void *bytes, size_t size) {
+    static ssize_t (*real)(int, void *, size_t);
+    if (real == NULL) {
+        real = dlsym(RTLD_NEXT, "read");
+    }
+    return after_read(file, real(file, bytes, size));
+}
+
+ssize_t recv(int socket, void *bytes, size_t size, int flags) {
+    static ssize_t (*real)(int, void *, size_t, int);
+    if (real == NULL) {
+        real = dlsym(RTLD_NEXT, "recv");
+    }
+    return after_read(socket, real(socket, bytes, size, flags));
+}
+
 int clock_gettime(clockid_t clock, struct timespec *time) {
     static int (*real)(clockid_t, struct timespec *);
     if (real == NULL) {
--- a/src/test/java/cypressglade/net/CallbackBudgetTest.java
+++ b/src/test/java/cypressglade/net/CallbackBudgetTest.java
@@ -63,6 +63,26 @@
         }
     }
 
+    /** Guards against a peer that is not looked at because the callback was held up before. */
+    @Test
+    void readNowLooksAtAPeerHoweverLongItsCallbackHasRun() throws Exception {
+        try (StandIn silent = new SilentPeer();
+                EventLoop loop = new EventLoop()) {
+            CompletableFuture<Connection> connected = new CompletableFuture<>();
+            loop.connect(silent.address(), connected::complete, () -> {});
+            Connection connection = connected.get(5, TimeUnit.SECONDS);
+            CompletableFuture<Boolean> isAllRead = new CompletableFuture<>();
+            loop.execute(
+                    () -> {
+                        connection.readInto(counter);
+                        hold();
+                        isAllRead.complete(connection.readNow());
+                        connection.close();
+                    });
+            assertThat(isAllRead.get(5, TimeUnit.SECONDS)).isTrue();
+        }
+    }
+
     /** Guards against a budget that is not given anew to each callback. */
     @Test
     void eachCallbackHasABudgetOfItsOwn() throws Exception {
@@ -98,6 +118,14 @@
         }
     }
 
+    /** A peer that sends nothing. */
+    private static final class SilentPeer extends StandIn {
+        @Override
+        protected void talk(DataInputStream in, DataOutputStream out) throws Exception {
+            in.read();
+        }
+    }
+
     private static void hold() {
         try {
             Thread.sleep(SETTLE_MS);
--- a/src/test/java/cypressglade/process/HeldUpIT.java
+++ b/src/test/java/cypressglade/process/HeldUpIT.java
@@ -54,6 +54,7 @@
     private static final long LEAVE_STEP_MS = 25;
     private static final long SETTLE_MS = 1500;
     private static final long LATE_START_MS = 100;
+    private static final int SLOW_REQUESTS = 10;
 
     @TempDir Path folder;
     private final ConcurrentMap<String, Long> begun = new ConcurrentHashMap<>();
@@ -195,6 +196,20 @@
         assertThat(late).isEmpty();
     }
 
+    /** Guards against requests that are refused because their callback was held up after a read. */
+    @Test
+    void requestsAreServedThoughTheProcessIsHeldUpAfterEachRead() throws Exception {
+        faults.on("slow");
+        for (int i = 0; i < SLOW_REQUESTS; i++) {
+            try (Socket client = scheduler.connect()) {
+                send(client, Site.request("GET", READ, LONG_HEADERS, ""));
+                int status = Message.read(new DataInputStream(client.getInputStream())).status();
+                String why = status == 200 ? "" : scheduler.get("/recent");
+                assertThat(status).as("request %d, %s", i, why).isEqualTo(200);
+            }
+        }
+    }
+
     /** Has so many requests open at once, and with them as many connections to the node. */
     private void askAtOnce(int count) throws Exception {
         List<Future<Integer>> answers = new ArrayList<>();
