Read once in every check of a peer, and all that a client may send ahead

Cause: Connection.readNow asked the running callback's budget before its first read. Where the thread had lost its core for 10 ms the check read nothing: a client without anything behind its request counted as unknown and was refused 503, an NBD client's leave or a node's answer that lay unread was not seen.

Change: readNow always reads once, then on while the budget lasts. Before an attempt all that a client may send ahead (64 KiB HTTP, 512 KiB NBD) is read whatever time is left; the front's own bound on reading ahead ends that. A test holds the end behind a block that is sent ahead.

--- a/src/main/java/cypressglade/http/ClientConnection.java
+++ b/src/main/java/cypressglade/http/ClientConnection.java
@@ -305,9 +305,15 @@
         };
     }
 
-    /** Reads what has arrived, and tells whether the client is there. */
+    /**
+     * Reads what has arrived, and tells whether the client is there. While a request is open, all
+     * that the client may send ahead is read, as its leave shows behind that only.
+     */
     Presence checkPresence() {
-        boolean isAllRead = connection.readNow();
+        boolean isAllRead =
+                phase == Phase.OPEN
+                        ? connection.readNow(MAX_PIPELINED_BYTES)
+                        : connection.readNow();
         if (!connection.isOpen() || phase == Phase.CLOSED) {
             return Presence.LEFT;
         }
--- a/src/main/java/cypressglade/nbd/Transmission.java
+++ b/src/main/java/cypressglade/nbd/Transmission.java
@@ -126,7 +126,7 @@
 
     /** Reads what has arrived, and tells whether the client has not left as far as that shows. */
     private boolean isClientConnected() {
-        connection.readNow();
+        connection.readNow(MAX_READ_AHEAD_BYTES);
         return connection.isOpen() && !hasLeft;
     }
 
--- a/src/main/java/cypressglade/net/Connection.java
+++ b/src/main/java/cypressglade/net/Connection.java
@@ -25,6 +25,7 @@
     private final ArrayDeque<ByteBuffer> output = new ArrayDeque<>();
     private Listener listener;
     private long unsentBytes;
+    private long bytesRead;
     private boolean isClosed;
     private boolean isClosingWhenSent;
     private boolean isBlocked;
@@ -171,14 +172,28 @@
     /**
      * Reads what has arrived without waiting for its read event, so that a timer decides on the
      * latest input. The listener gets it as usual, and may pause reading or close the connection.
-     * Reads no more than the running callback's budget, however fast the other side writes.
+     * Reads once however long the running callback has taken, and then on while that callback's
+     * budget lasts, however fast the other side writes.
      *
      * @return whether the connection is open and nothing that has arrived is unread; false also
      *     where that is not known, as reading is paused or the budget is spent
      */
     public boolean readNow() {
+        return readNow(1);
+    }
+
+    /**
+     * Reads as {@link #readNow()} does, and at least so many bytes, if they have arrived, whatever
+     * is left of the budget. For decisions that must not depend on how long a callback has taken.
+     *
+     * @param assuredBytes what the other side may send ahead
+     */
+    public boolean readNow(int assuredBytes) {
         Arrival arrival = Arrival.BYTES;
-        while (arrival == Arrival.BYTES && isReading() && loop.budget().hasLeft()) {
+        long before = bytesRead;
+        while (arrival == Arrival.BYTES
+                && isReading()
+                && (bytesRead - before < assuredBytes || loop.budget().hasLeft())) {
             arrival = readOnce();
         }
         return arrival == Arrival.NOTHING && !isClosed;
@@ -299,6 +314,7 @@
             }
             if (count > 0) {
                 lastActivity = MonotonicClock.now();
+                bytesRead += count;
                 loop.budget().spend(count);
                 listener.received(input.flip());
             }
--- a/src/test/java/cypressglade/net/CallbackBudgetTest.java
+++ b/src/test/java/cypressglade/net/CallbackBudgetTest.java
@@ -83,6 +83,29 @@
         }
     }
 
+    /** Guards against a leave that is not seen because the callback was held up before. */
+    @Test
+    void readNowSeesAnEndBehindWhatMayBeSentAheadHoweverLongItsCallbackHasRun() throws Exception {
+        try (StandIn leaver = new Leaver();
+                EventLoop loop = new EventLoop()) {
+            CompletableFuture<Connection> connected = new CompletableFuture<>();
+            loop.connect(leaver.address(), connected::complete, () -> {});
+            Connection connection = connected.get(5, TimeUnit.SECONDS);
+            Thread.sleep(SETTLE_MS);
+            CompletableFuture<Boolean> isOpen = new CompletableFuture<>();
+            loop.execute(
+                    () -> {
+                        connection.readInto(counter);
+                        hold();
+                        connection.readNow(BLOCK_BYTES + 1);
+                        isOpen.complete(connection.isOpen());
+                        connection.close();
+                    });
+            assertThat(isOpen.get(5, TimeUnit.SECONDS)).isFalse();
+            assertThat(received.get()).isEqualTo(BLOCK_BYTES);
+        }
+    }
+
     /** Guards against a budget that is not given anew to each callback. */
     @Test
     void eachCallbackHasABudgetOfItsOwn() throws Exception {
@@ -118,6 +141,14 @@
         }
     }
 
+    /** A peer that sends one block, and leaves. */
+    private static final class Leaver extends StandIn {
+        @Override
+        protected void talk(DataInputStream in, DataOutputStream out) throws Exception {
+            out.write(new byte[BLOCK_BYTES]);
+        }
+    }
+
     /** A peer that sends nothing. */
     private static final class SilentPeer extends StandIn {
         @Override
