Forget old attempts of the budget from its head, not by a look at each

The policy asks the budget of further attempts for every silent answer at every tick of 10 ms, and each question looked at all requests of the window. The times ascend, so that the old ones stand at the head. Found by reading; the unit tests of core pass, no figure was taken.

--- a/src/main/java/cypressglade/core/FurtherAttemptBudget.java
+++ b/src/main/java/cypressglade/core/FurtherAttemptBudget.java
@@ -30,11 +30,18 @@
      * @param tickUs granularity of the clock by which the window is judged
      */
     boolean allowsOneMore(long now, Limits limits, long tickUs) {
-        furtherTimes.removeIf(at -> at < now - limits.budgetWindowUs());
-        requestTimes.removeIf(at -> at < now - limits.budgetWindowUs() + tickUs);
+        removeBefore(furtherTimes, now - limits.budgetWindowUs());
+        removeBefore(requestTimes, now - limits.budgetWindowUs() + tickUs);
         return !limits.hasAttemptBudget()
                 || furtherTimes.size() + 1
                         <= limits.freeFurtherAttempts()
                                 + limits.furtherAttemptsRatio() * requestTimes.size();
     }
+
+    /** Removes from times in ascending order those before a given one. */
+    private static void removeBefore(ArrayDeque<Long> times, long first) {
+        while (!times.isEmpty() && times.peekFirst() < first) {
+            times.removeFirst();
+        }
+    }
 }
