--- a/src/test/c/faults.c
+++ b/src/test/c/faults.c
@@ -1,5 +1,6 @@
 /*
- * System calls that fail, and a process that is held up, for tests of real schedulers (LD_PRELOAD).
+ * System calls that fail, a process that is held up, and a record of what it sends, for tests of real schedulers
+ * (LD_PRELOAD).
  *
  * A fault is on while a file of its name stands in the directory $FAULT_DIR:
  *   accept   accept fails with ENFILE
@@ -11,6 +12,9 @@
  *   back     the wall clock is an hour behind
  *   ahead    the wall clock is an hour ahead
  *   read     opening the configuration (a path that ends in "config.json") fails with EIO
+ *
+ * The file "sent" in that directory, where there is one, gets a line for each request that the process writes to a
+ * socket: its X-Trace-Id, and the monotonic time in nanoseconds at which the write of its head began.
  */
 #define _GNU_SOURCE
 #include <dlfcn.h>
@@ -27,7 +31,9 @@
 #include <time.h>
 #include <unistd.h>
 
-enum { SHORT_WAIT_MS = 5, STALL_MS = 150, LATE_MS = 250, SLOW_MS = 30, STEP_S = 3600 };
+enum { SHORT_WAIT_MS = 5, STALL_MS = 150, LATE_MS = 250, SLOW_MS = 30, STEP_S = 3600, HEAD_BYTES = 1024 };
+
+static const char TRACE_ID[] = "\r\nX-Trace-Id: ";
 
 static int on(const char *fault) {
     const char *directory = getenv("FAULT_DIR");
@@ -88,13 +94,52 @@
     return ready;
 }
 
+static int is_request(const char *bytes, size_t size) {
+    return size > 5 && (memcmp(bytes, "GET /", 5) == 0 || memcmp(bytes, "PUT /", 5) == 0);
+}
+
+static void note_sent(const char *bytes, size_t size) {
+    const char *directory = getenv("FAULT_DIR");
+    const char *id = memmem(bytes, size < HEAD_BYTES ? size : HEAD_BYTES, TRACE_ID, strlen(TRACE_ID));
+    if (directory == NULL || id == NULL) {
+        return;
+    }
+    int before = errno;
+    char path[512];
+    snprintf(path, sizeof path, "%s/sent", directory);
+    int file = syscall(SYS_openat, AT_FDCWD, path, O_WRONLY | O_APPEND | O_CLOEXEC);
+    if (file >= 0) {
+        char line[128];
+        struct timespec now;
+        id += strlen(TRACE_ID);
+        int length = strcspn(id, "\r");
+        syscall(SYS_clock_gettime, CLOCK_MONOTONIC, &now);
+        int count = snprintf(line, sizeof line, "%.*s %lld\n", length < 64 ? length : 64, id,
+                             now.tv_sec * 1000000000LL + now.tv_nsec);
+        syscall(SYS_write, file, line, count);
+        syscall(SYS_close, file);
+    }
+    errno = before;
+}
+
+ssize_t write(int file, const void *bytes, size_t size) {
+    static ssize_t (*real)(int, const void *, size_t);
+    if (real == NULL) {
+        real = dlsym(RTLD_NEXT, "write");
+    }
+    if (is_request(bytes, size)) {
+        note_sent(bytes, size);
+    }
+    return real(file, bytes, size);
+}
+
 static int is_socket(int file) {
     struct stat status;
     return fstat(file, &status) == 0 && S_ISSOCK(status.st_mode);
 }
 
 static ssize_t after_read(int file, ssize_t count) {
-    if (count > 0 && is_socket(file) && on("slow")) {
+    if (count > 0 && on("slow") && is_socket(file)) {
         hold_up(SLOW_MS);
     }
     return count;
--- a/src/test/java/cypressglade/process/FaultLibrary.java
+++ b/src/test/java/cypressglade/process/FaultLibrary.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -13,6 +14,7 @@
  */
 final class FaultLibrary {
     private static final Path SOURCE = Path.of("src/test/c/faults.c");
+    private static final String SENT = "sent";
     private static final Path BUILT = Path.of("target/faults.so").toAbsolutePath();
 
     private final Path directory;
@@ -64,4 +66,26 @@
     void off(String fault) throws IOException {
         Files.deleteIfExists(directory.resolve(fault));
     }
+
+    /** Has the requests that a process writes noted from now on, for {@link #sent}. */
+    void noteSent() throws IOException {
+        on(SENT);
+    }
+
+    /** The requests that processes have written, in the order of their writes. */
+    List<Sent> sent() throws IOException {
+        return Files.readAllLines(directory.resolve(SENT)).stream().map(Sent::parse).toList();
+    }
+
+    /**
+     * A request as it was written to a node.
+     *
+     * @param nanos when the write began, by {@link System#nanoTime}
+     */
+    record Sent(String id, long nanos) {
+        private static Sent parse(String line) {
+            int space = line.indexOf(' ');
+            return new Sent(line.substring(0, space), Long.parseLong(line.substring(space + 1)));
+        }
+    }
 }
--- a/src/test/java/cypressglade/process/SmallSite.java
+++ b/src/test/java/cypressglade/process/SmallSite.java
@@ -30,11 +30,17 @@
     }
 
     SmallSite(Path folder, StandIn node) throws IOException {
-        this(folder, node, UnaryOperator.identity());
+        this(folder, node, Optional.empty(), UnaryOperator.identity());
     }
 
     /** One whose configuration is edited as text. */
     SmallSite(Path folder, StandIn node, UnaryOperator<String> edit) throws IOException {
+        this(folder, node, Optional.empty(), edit);
+    }
+
+    /** One whose scheduler is under a library of faults. */
+    SmallSite(Path folder, StandIn node, Optional<FaultLibrary> faults, UnaryOperator<String> edit)
+            throws IOException {
         this.node = node;
         String entry = Site.entry(0, node.hostPort(), "active", 0);
         place = Place.in(folder, entry, "127.0.0.1:1", MEMORY_MB);
@@ -44,7 +50,7 @@
                 edit.apply(
                         text.replaceAll("\"objectiveUs\":\\d+", "\"objectiveUs\":1500000")
                                 .replaceAll("\"deadlineUs\":\\d+", "\"deadlineUs\":2000000")));
-        scheduler = RealScheduler.start(place, Optional.empty());
+        scheduler = RealScheduler.start(place, faults);
     }
 
     /** The headers of a request of two units whose client waits so long. */
--- a/src/test/java/cypressglade/process/SoakIT.java
+++ b/src/test/java/cypressglade/process/SoakIT.java
@@ -9,6 +9,7 @@
 import java.io.IOException;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -16,11 +17,13 @@
 import java.util.Optional;
 import java.util.Queue;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.UnaryOperator;
+import java.util.stream.Collectors;
 import java.util.stream.LongStream;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -81,14 +84,16 @@
             node.judge.allowSecondCopies();
         }
         UnaryOperator<String> edit = mayCopy ? Site::allowSecondCopies : UnaryOperator.identity();
-        try (SmallSite site = new SmallSite(folder, node, edit)) {
+        FaultLibrary library = new FaultLibrary(Files.createDirectory(folder.resolve("faults")));
+        library.noteSent();
+        try (SmallSite site = new SmallSite(folder, node, Optional.of(library), edit)) {
             List<Thread> clients = startClients(site, new Random(seed));
-            play(site, seed);
+            play(site, seed, library);
             over.set(true);
             for (Thread client : clients) {
                 client.join();
             }
-            judge(node);
+            judge(node, library.sent());
         }
         System.out.printf(
                 "soak seed %d: %d answered, %d served, %d MB, broken: %s%n",
@@ -120,7 +125,7 @@
     }
 
     /** Sends signals in series, at last those of a planned restart, in some runs of an upgrade. */
-    private void play(SmallSite site, long seed) throws Exception {
+    private void play(SmallSite site, long seed, FaultLibrary library) throws Exception {
         Random random = new Random(~seed);
         List<Socket> crowd = new ArrayList<>();
         for (int i = 0; i < 3; i++) {
@@ -135,7 +140,7 @@
         }
         Optional<RealScheduler> next = Optional.empty();
         if (seed % 2 == 0) {
-            next = Optional.of(RealScheduler.start(site.place, Optional.empty()));
+            next = Optional.of(RealScheduler.start(site.place, Optional.of(library)));
         }
         List<RealScheduler> all = new ArrayList<>(List.of(site.scheduler));
         next.ifPresent(all::add);
@@ -350,9 +355,18 @@
         }
     }
 
-    private void judge(SoakNode node) {
+    /**
+     * Judges what the node saw, and the times at which attempts were written. Those of the node's
+     * threads would count by how long this process kept them waiting, beside all its clients.
+     */
+    private void judge(SoakNode node, List<FaultLibrary.Sent> attempts) {
         broken.addAll(node.judge.violations());
-        for (SoakNode.Attempt attempt : node.attempts) {
+        Set<String> written =
+                attempts.stream().map(FaultLibrary.Sent::id).collect(Collectors.toSet());
+        if (!written.containsAll(node.attempts)) {
+            broken.add("an attempt that the node saw is not among those written");
+        }
+        for (FaultLibrary.Sent attempt : attempts) {
             long left = leftAt.getOrDefault(attempt.id(), Long.MAX_VALUE - LEFT_NANOS);
             if (attempt.nanos() > left + LEFT_NANOS) {
                 broken.add(
--- a/src/test/java/cypressglade/process/SoakNode.java
+++ b/src/test/java/cypressglade/process/SoakNode.java
@@ -19,17 +19,14 @@
     /** Longer than any client waits. */
     private static final long NEVER_MS = 4000;
 
-    /** When each attempt's request was whole. */
-    final Queue<Attempt> attempts = new ConcurrentLinkedQueue<>();
+    /** The id of each attempt, in the order in which their requests were whole. */
+    final Queue<String> attempts = new ConcurrentLinkedQueue<>();
 
     /** How often each write has run. */
     final Map<String, Integer> runs = new ConcurrentHashMap<>();
 
     private final long seed;
 
-    /** An attempt as it came, by {@link System#nanoTime}. */
-    record Attempt(String id, long nanos) {}
-
     SoakNode(long seed) {
         this.seed = seed;
     }
@@ -50,7 +47,7 @@
             if (request.first().startsWith("GET /healthz")) {
                 HttpPeer.answer(200, "", "").answer(request, out);
             } else {
-                attempts.add(new Attempt(request.headers().get("x-trace-id"), System.nanoTime()));
+                attempts.add(request.headers().get("x-trace-id"));
                 judged(request, out, this::answer);
             }
         }
