Read the sizes of chunks without a text for each

Change: ChunkSizeParser takes the line byte by byte; BodyDecoder holds no line any more. Same sizes, same refusals, same bounds.

The unit tests of http pass.

--- a/src/main/java/cypressglade/http/BodyDecoder.java
+++ b/src/main/java/cypressglade/http/BodyDecoder.java
@@ -10,7 +10,6 @@
 final class BodyDecoder {
     private static final int INITIAL_CAPACITY_BYTES = 1024;
     private static final int MAX_LINE_BYTES = 4 * 1024;
-    private static final int MAX_SIZE_DIGITS = 8;
     private static final byte[] NONE = {};
 
     private enum State {
@@ -23,7 +22,9 @@
 
     private final boolean isChunked;
     private final int maxBytes;
-    private final StringBuilder line = new StringBuilder();
+    private final ChunkSizeParser chunkSize = new ChunkSizeParser();
+    private int lineBytes; // of the line that is arriving
+    private boolean endsWithReturn; // the line as far as it has arrived
     private byte[] bytes = NONE;
     private int size;
     private int remaining; // of the body, or of the chunk
@@ -72,7 +73,7 @@
             if (state == State.DATA) {
                 copyData(in);
             } else {
-                readLine((char) (in.get() & 0xff));
+                readLine(in.get() & 0xff);
             }
         }
         return isComplete();
@@ -93,58 +94,55 @@
         }
     }
 
-    private void readLine(char next) throws RejectedRequestException {
-        if (next != '\n') {
-            line.append(next);
-            if (line.length() > MAX_LINE_BYTES) {
-                throw malformed("a line among the chunks is too long");
-            }
+    private void readLine(int next) throws RejectedRequestException {
+        if (next == '\n') {
+            endLine(endsWithReturn ? lineBytes - 1 : lineBytes);
+            lineBytes = 0;
+            endsWithReturn = false;
             return;
         }
-        int end = line.length();
-        String text = line.substring(0, end > 0 && line.charAt(end - 1) == '\r' ? end - 1 : end);
-        line.setLength(0);
-        parseLine(text);
+        lineBytes++;
+        if (lineBytes > MAX_LINE_BYTES) {
+            throw malformed("a line among the chunks is too long");
+        }
+        endsWithReturn = next == '\r';
+        if (state == State.CHUNK_SIZE) {
+            chunkSize.feed(next);
+        }
     }
 
-    private void parseLine(String text) throws RejectedRequestException {
+    /** Handles a line of so many bytes, without its end. */
+    private void endLine(int length) throws RejectedRequestException {
         switch (state) {
-            case CHUNK_SIZE -> {
-                remaining = parseSize(text);
-                if (remaining > maxBytes - size) {
-                    throw new RejectedRequestException(
-                            HttpStatus.CONTENT_TOO_LARGE, "the body is over 64 KiB");
-                }
-                state = remaining == 0 ? State.TRAILERS : State.DATA;
-            }
+            case CHUNK_SIZE -> beginChunk();
             case CHUNK_END -> {
-                if (!text.isEmpty()) {
+                if (length > 0) {
                     throw malformed("a chunk is longer than its size");
                 }
                 state = State.CHUNK_SIZE;
             }
             case TRAILERS -> {
-                trailerBytes += text.length();
+                trailerBytes += length;
                 if (trailerBytes > HeadDecoder.MAX_HEAD_BYTES) {
                     throw malformed("the trailers are too long");
                 }
-                state = text.isEmpty() ? State.DONE : State.TRAILERS;
+                state = length == 0 ? State.DONE : State.TRAILERS;
             }
             default -> throw new IllegalStateException(state.name());
         }
     }
 
-    private static int parseSize(String text) throws RejectedRequestException {
-        int extension = text.indexOf(';');
-        String digits = (extension < 0 ? text : text.substring(0, extension)).trim();
-        if (digits.isEmpty()
-                || !digits.chars()
-                        .allMatch(digit -> digit < 128 && Character.digit(digit, 16) >= 0)) {
+    private void beginChunk() throws RejectedRequestException {
+        if (!chunkSize.isValid()) {
             throw malformed("a chunk has no size");
         }
-        return digits.length() > MAX_SIZE_DIGITS - 1
-                ? Integer.MAX_VALUE
-                : Integer.parseInt(digits, 16);
+        remaining = chunkSize.value();
+        chunkSize.reset();
+        if (remaining > maxBytes - size) {
+            throw new RejectedRequestException(
+                    HttpStatus.CONTENT_TOO_LARGE, "the body is over 64 KiB");
+        }
+        state = remaining == 0 ? State.TRAILERS : State.DATA;
     }
 
     private static RejectedRequestException malformed(String why) {
