Remember a refused request as three numbers in a table of a fixed size

The heap filled and the process did little but collect.

Cause: memory that outlives a request had no owner, price or bound. Now core.RefusedRequests keeps a fingerprint, an arrival and an expiry in a recent.RecentEntries, whose memory is taken at the start and booked in config.Budget; the oldest goes for a new one at constant cost. Forgetting is harmless: a retry then counts from its own arrival.

--- a/src/main/java/cypressglade/cli/Serve.java
+++ b/src/main/java/cypressglade/cli/Serve.java
@@ -123,7 +123,13 @@
         this.files = files;
         loop = new EventLoop();
         NodeDirectory directory = new NodeDirectory();
-        engine = new Engine(config.settings(), directory, counters, files.storms());
+        engine =
+                new Engine(
+                        config.settings(),
+                        directory,
+                        counters,
+                        files.storms(),
+                        config.budget().memoryBounds());
         loop.reportHolds(this::recordHold);
         uncertainWrites =
                 files.storms()
--- a/src/main/java/cypressglade/config/Budget.java
+++ b/src/main/java/cypressglade/config/Budget.java
@@ -1,5 +1,8 @@
 package cypressglade.config;
 
+import cypressglade.core.MemoryBounds;
+import cypressglade.recent.RecentEntries;
+
 /**
  * The limits on this program's memory and descriptors and how they are divided among its parts; the
  * README has the arithmetic. They are one scheduler's, and an upgrade has two processes of it side
@@ -29,6 +32,14 @@
     private static final int INPUT_DIVISOR = 4;
     private static final int ANSWERS_DIVISOR = 6;
 
+    /** In use after a collection of a program that serves nobody, with room for a little more. */
+    private static final int IDLE_HEAP_BYTES = 13 * BYTES_PER_MB / 4;
+
+    /** The part of what is left beside bodies that is kept free for short-lived objects. */
+    private static final int FREE_DIVISOR = 2;
+
+    private static final int REFUSALS_DIVISOR = 8;
+
     /** The limits of one process that serves alone. */
     public Budget(int memoryMb, int sockets) {
         this(memoryMb, sockets, 1);
@@ -70,6 +81,22 @@
         return heapBytes() / ANSWERS_DIVISOR;
     }
 
+    /** Bytes of heap for all that is remembered of requests that are over; at least 1. */
+    public int historyBytes() {
+        int besideBodies = heapBytes() - IDLE_HEAP_BYTES - inputBytes() - 2 * answerBytes();
+        return Math.max(1, besideBodies / FREE_DIVISOR);
+    }
+
+    /** What the scheduling policy may remember of requests that are over. */
+    public MemoryBounds memoryBounds() {
+        return new MemoryBounds(
+                entries(historyBytes() / REFUSALS_DIVISOR, RecentEntries.BYTES_PER_ENTRY));
+    }
+
+    private static int entries(int bytes, int bytesPerEntry) {
+        return Math.max(1, bytes / bytesPerEntry);
+    }
+
     /** Connections of clients; those of the platform hold at most a third of the descriptors. */
     public int clientConnections() {
         return shared() * 11 / 20;
--- a/src/main/java/cypressglade/core/Engine.java
+++ b/src/main/java/cypressglade/core/Engine.java
@@ -120,19 +120,21 @@
 
     /** Creates an engine that takes no measures against storms of client retries. */
     public Engine(Settings settings, NodeDirectory directory, Counters counters) {
-        this(settings, directory, counters, Optional.empty());
+        this(settings, directory, counters, Optional.empty(), MemoryBounds.SIMULATED);
     }
 
     /**
      * Creates an engine; {@link #start} starts its thread.
      *
      * @param stormSettings the measures against storms of client retries; empty turns them off
+     * @param memoryBounds how much is remembered of requests that are over
      */
     public Engine(
             Settings settings,
             NodeDirectory directory,
             Counters counters,
-            Optional<StormSettings> stormSettings) {
+            Optional<StormSettings> stormSettings,
+            MemoryBounds memoryBounds) {
         this.directory = directory;
         this.counters = counters;
         this.settings = settings;
@@ -147,7 +149,7 @@
                                         coldWindow,
                                         counters,
                                         MonotonicClock.now()));
-        this.scheduler = new SchedulingPolicy(now(), settings, new Orders());
+        this.scheduler = new SchedulingPolicy(now(), settings, new Orders(), memoryBounds);
         thread.setDaemon(true);
     }
 
--- a/src/main/java/cypressglade/core/RefusedRequests.java
+++ b/src/main/java/cypressglade/core/RefusedRequests.java
@@ -1,21 +1,33 @@
 package cypressglade.core;
 
-import java.util.LinkedHashMap;
+import cypressglade.recent.RecentEntries;
+import cypressglade.recent.RecentEntries.Entry;
 
 /**
- * Refused requests that have not expired, by which a client's retry is recognized. Belongs to the
- * policy's thread; times are in microseconds.
+ * Refused requests that have not expired, by which a client's retry is recognized. Of each one only
+ * three numbers are kept: its fingerprint, the arrival of its original and its expiry. Their number
+ * is fixed; a new one takes the place of the oldest. A retry whose original is forgotten counts
+ * from its own arrival, so it is only scheduled as any other request. Belongs to the policy's
+ * thread; times are in microseconds.
  */
 final class RefusedRequests {
-    /** Refusals to remember before expired ones are removed. */
-    private static final int MIN_REMEMBERED = 64;
+    private final RecentEntries refused;
 
-    private final LinkedHashMap<Long, PendingRequest> refused = new LinkedHashMap<>();
-    private int cleanupSize;
+    /**
+     * Creates an empty memory.
+     *
+     * @param capacity how many are remembered at the most
+     */
+    RefusedRequests(int capacity) {
+        refused = new RecentEntries(capacity);
+    }
 
-    /** Remembers a request that was not served. */
-    void add(PendingRequest pending) {
-        refused.put(pending.retryFingerprint(0), pending);
+    /** Remembers a request that was not served, and forgets the oldest ones that have expired. */
+    void add(long now, PendingRequest pending) {
+        while (refused.size() > 0 && refused.oldest().second() < now) {
+            refused.remove(refused.oldest().key());
+        }
+        refused.put(pending.retryFingerprint(0), pending.originalArrivedAt, pending.expiresAt);
     }
 
     /** How many are remembered. */
@@ -28,14 +40,10 @@
      * it and expires at the same time. For other requests this is their own arrival.
      */
     long originalArrival(long now, PendingRequest pending) {
-        if (refused.size() > cleanupSize) { // a retry storm leaves thousands
-            refused.values().removeIf(before -> before.expiresAt < now);
-            cleanupSize = MIN_REMEMBERED + 2 * refused.size();
-        }
         for (int step = -1; step <= 1; step++) {
-            PendingRequest before = refused.remove(pending.retryFingerprint(step));
-            if (before != null && before.expiresAt >= now) {
-                pending.originalArrivedAt = before.originalArrivedAt;
+            Entry before = refused.remove(pending.retryFingerprint(step));
+            if (before != null && before.second() >= now) {
+                pending.originalArrivedAt = before.first();
                 break;
             }
         }
--- a/src/main/java/cypressglade/core/SchedulingPolicy.java
+++ b/src/main/java/cypressglade/core/SchedulingPolicy.java
@@ -65,8 +65,6 @@
     // Rates of volumes and of the whole demand.
 
     static final double RATE_MEMORY_MICROS = 1_000_000; // time constant of a volume's rates
-    // Units a second beyond the reserve from which a volume counts as asking for more.
-    private static final double MIN_EXCESS_RATE = 0.1;
     private static final long EXCESS_CHECK_INTERVAL_MICROS = 50_000;
     static final double DEMAND_MEMORY_MICROS = 5_000_000; // time constant of this instance's demand
 
@@ -117,11 +115,11 @@
     private final Map<Long, TrackedNode> nodes = new LinkedHashMap<>();
     final Map<Integer, TrackedNode> nodesByShard = new TreeMap<>();
     private final Map<Long, PendingRequest> openRequests = new HashMap<>();
-    private final Map<Long, TrackedVolume> volumes = new LinkedHashMap<>();
+    private final TrackedVolumes volumes = new TrackedVolumes(this);
     private final Map<Long, ArrayDeque<PendingRequest>> orderedQueues = new HashMap<>();
     private final Map<Long, Long> keyPausedUntil = new HashMap<>();
     private final FurtherAttemptBudget furtherAttempts = new FurtherAttemptBudget();
-    private final RefusedRequests refusedRequests = new RefusedRequests();
+    private final RefusedRequests refusedRequests;
     private final SilentAnswers silentAnswers = new SilentAnswers();
     private int minInFlight, maxInFlight;
     private int waitingCount, inFlightCount;
@@ -146,7 +144,14 @@
      * all later calls; {@code actions} carries out the decisions, from now on.
      */
     public SchedulingPolicy(long nowUs, Settings settings, Actions actions) {
+        this(nowUs, settings, actions, MemoryBounds.SIMULATED);
+    }
+
+    /** The same, with bounds on what is remembered of requests that are over. */
+    public SchedulingPolicy(
+            long nowUs, Settings settings, Actions actions, MemoryBounds memoryBounds) {
         this.actions = actions;
+        this.refusedRequests = new RefusedRequests(memoryBounds.refusedRequests());
         this.random = new SplittableRandom(settings.seed());
         this.createdAt = this.demandUpdatedAt = nowUs;
         this.demandUnits = settings.maxUnits(); // a high demand is assumed until it is known
@@ -183,7 +188,7 @@
 
     @Override
     public void applyLimitShares(long now, LimitShares next) {
-        volumes.values().forEach(volume -> volume.refill(now)); // by the share until now
+        volumes.refill(now); // by the share until now
         limitShares = next;
     }
 
@@ -224,11 +229,7 @@
         }
         RequestRules rules = request.rules().get();
         Plan plan = settings.planInForce(rules.plan());
-        pending.volume =
-                volumes.computeIfAbsent(
-                        request.volume(), id -> new TrackedVolume(this, now, request, plan));
-        pending.volume.instances = Math.max(1, request.instances());
-        pending.volume.plan = plan;
+        pending.volume = volumes.of(now, request, plan);
         pending.requestClass = rules.requestClass();
         pending.maxAttempts = rules.maxAttempts();
         pending.background =
@@ -440,13 +441,8 @@
     private void tick(long now) {
         if (now - excessCheckedAt >= EXCESS_CHECK_INTERVAL_MICROS) {
             excessCheckedAt = now;
-            volumes.values().removeIf(volume -> volume.canBeForgotten(now));
-            meanExcessRate =
-                    volumes.values().stream()
-                            .filter(volume -> volume.excessRate > MIN_EXCESS_RATE)
-                            .mapToDouble(TrackedVolume::excessByWeight)
-                            .average()
-                            .orElse(0);
+            volumes.forgetIdle(now);
+            meanExcessRate = volumes.meanExcessRate();
         }
         for (TrackedNode node : nodes.values()) {
             if (node.isIdle()) {
@@ -855,7 +851,7 @@
         } else {
             actions.fail(pending.request.id());
         }
-        refusedRequests.add(pending);
+        refusedRequests.add(now, pending);
         removeIfDone(now, pending);
     }
 
--- a/src/test/java/cypressglade/core/SchedulingPolicyTest.java
+++ b/src/test/java/cypressglade/core/SchedulingPolicyTest.java
@@ -624,8 +624,7 @@
             instance.endAttempt(i, 0, i, Status.TIMEOUT, 40);
             instance.advance(1500);
         }
-        for (String table :
-                List.of("nodes", "volumes", "keyPausedUntil", "openRequests", "orderedQueues")) {
+        for (String table : List.of("nodes", "keyPausedUntil", "openRequests", "orderedQueues")) {
             java.lang.reflect.Field field = SchedulingPolicy.class.getDeclaredField(table);
             field.setAccessible(true);
             int size = ((java.util.Map<?, ?>) field.get(instance.policy())).size();
@@ -636,6 +635,10 @@
         refused.setAccessible(true);
         int size = ((RefusedRequests) refused.get(instance.policy())).size();
         assertTrue(size < 60, "refusedRequests holds " + size);
+        java.lang.reflect.Field volumes = SchedulingPolicy.class.getDeclaredField("volumes");
+        volumes.setAccessible(true);
+        int volumeCount = ((TrackedVolumes) volumes.get(instance.policy())).size();
+        assertTrue(volumeCount < 60, "volumes holds " + volumeCount);
     }
 
     @Test
--- /dev/null
+++ b/src/test/java/cypressglade/process/KeptMemoryIT.java
@@ -0,0 +1,112 @@
+package cypressglade.process;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import cypressglade.standin.HttpPeer;
+import cypressglade.standin.HttpPeer.Message;
+import cypressglade.standin.Site;
+import java.io.BufferedInputStream;
+import java.io.DataInputStream;
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.LongFunction;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** What requests leave behind in the heap once they are answered, however many they were. */
+class KeptMemoryIT {
+    private static final int SENDERS = 20;
+    private static final int REQUESTS_A_WRITE = 25;
+    private static final int WAIT_MS = 60_000;
+
+    /** The room for all that is remembered of requests that are over, and a little of buffers. */
+    private static final long MOST_KEPT_KB = 2_500;
+
+    @TempDir Path folder;
+    private final AtomicLong sent = new AtomicLong();
+    private final AtomicInteger answered = new AtomicInteger();
+
+    /** Guards against refused requests that are kept whole for as long as their clients chose. */
+    @Test
+    void refusedRequestsLeaveNoMoreThanTheirRoom() throws Exception {
+        play(
+                60_000,
+                number ->
+                        request(
+                                "/job-read/00000000000000d1/" + hex(number),
+                                "units=2,shard=7,hosts=1"));
+    }
+
+    private static String request(String path, String info) {
+        return Site.request("GET", path, Site.headers(WAIT_MS, "standard", info), "");
+    }
+
+    private static String hex(long number) {
+        return String.format("%016x", number);
+    }
+
+    /** Sends requests at full speed, all different, and looks at the heap after their answers. */
+    private void play(int count, LongFunction<String> request) throws Exception {
+        try (SmallSite site =
+                new SmallSite(
+                        folder,
+                        new HttpPeer(HttpPeer.answer(200, "", "data")),
+                        KeptMemoryIT::longDeadlines)) {
+            assertThat(site.askUntimed(SmallSite.read(2000)).status()).isEqualTo(200);
+            long before = site.scheduler.heapAfterCollectionKb();
+            List<Thread> senders = new ArrayList<>();
+            for (int i = 0; i < SENDERS; i++) {
+                Thread sender = new Thread(() -> send(site, count, request), "sender");
+                sender.start();
+                senders.add(sender);
+            }
+            for (Thread sender : senders) {
+                sender.join();
+            }
+            assertThat(site.scheduler.alive()).as("the scheduler is alive").isTrue();
+            long kept = site.scheduler.heapAfterCollectionKb() - before;
+            System.out.printf("%d answers, %d KB kept%n", answered.get(), kept);
+            assertThat(answered.get()).isGreaterThanOrEqualTo(count);
+            assertThat(kept).as("KB kept").isLessThan(MOST_KEPT_KB);
+            assertThat(site.askUntimed(SmallSite.read(2000)).status()).isEqualTo(200);
+        }
+    }
+
+    private static String longDeadlines(String text) {
+        return text.replaceAll("\"deadlineUs\":\\d+", "\"deadlineUs\":" + WAIT_MS + "000");
+    }
+
+    private void send(SmallSite site, int count, LongFunction<String> request) {
+        while (answered.get() < count) {
+            try (Socket client = site.scheduler.connect()) {
+                DataInputStream in =
+                        new DataInputStream(new BufferedInputStream(client.getInputStream()));
+                while (answered.get() < count) {
+                    sendSome(client, in, request);
+                }
+            } catch (IOException closed) {
+                if (!site.scheduler.alive()) {
+                    return;
+                }
+            }
+        }
+    }
+
+    private void sendSome(Socket client, DataInputStream in, LongFunction<String> request)
+            throws IOException {
+        StringBuilder text = new StringBuilder();
+        for (int i = 0; i < REQUESTS_A_WRITE; i++) {
+            text.append(request.apply(sent.incrementAndGet()));
+        }
+        SmallSite.send(client, text.toString());
+        for (int i = 0; i < REQUESTS_A_WRITE; i++) {
+            Message.read(in);
+            answered.incrementAndGet();
+        }
+    }
+}
--- a/src/test/java/cypressglade/process/RealScheduler.java
+++ b/src/test/java/cypressglade/process/RealScheduler.java
@@ -1,5 +1,7 @@
 package cypressglade.process;
 
+import static org.assertj.core.api.Assertions.assertThat;
+
 import cypressglade.standin.DoorCall;
 import cypressglade.standin.HttpPeer.Message;
 import cypressglade.standin.Site;
@@ -18,6 +20,8 @@
 import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /**
  * One scheduler as the platform starts it: {@code deploy/run.sh} on the packaged program, in a
@@ -27,6 +31,10 @@
     private static final long READY_SECONDS = 20;
     private static final int CALL_LIMIT_MS = 10_000;
 
+    /** The two generations of the serial collector; the last match would be the metaspace. */
+    private static final Pattern HEAP_USED =
+            Pattern.compile("generation +total \\d+K, used (\\d+)K");
+
     /** Where a scheduler is, and what it is told; several processes may be started on one. */
     record Place(Path folder, int port, String nodes, String discovery, int memoryMb) {
         /** A place on a free port, with its configuration, in an empty folder. */
@@ -197,6 +205,30 @@
         return kilobytes("smaps_rollup", "Pss:");
     }
 
+    /** What is in use of its heap after a full collection, in kilobytes. */
+    long heapAfterCollectionKb() throws IOException, InterruptedException {
+        command("GC.run");
+        Matcher used = HEAP_USED.matcher(command("GC.heap_info"));
+        long sum = 0;
+        while (used.find()) {
+            sum += Long.parseLong(used.group(1));
+        }
+        assertThat(sum).as("heap in use").isPositive();
+        return sum;
+    }
+
+    /** Has the JVM's own tool ask the process. */
+    private String command(String name) throws IOException, InterruptedException {
+        Path tool = Path.of(System.getProperty("java.home"), "bin", "jcmd");
+        Process asked =
+                new ProcessBuilder(tool.toString(), Long.toString(process.pid()), name)
+                        .redirectErrorStream(true)
+                        .start();
+        String answer = new String(asked.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        assertThat(asked.waitFor()).as(answer).isZero();
+        return answer;
+    }
+
     private long kilobytes(String file, String name) {
         try {
             return Files.readAllLines(Path.of("/proc/" + process.pid() + "/" + file)).stream()
