Bound the volumes that are known, and forget a full one first

Cause: as of refused requests, memory that outlives a request without a bound. Now the table has a number of places from config.Budget. At the bound one of the eight least recently asked for goes, one whose limit is full if there is any, which changes nothing. Where there is none, volumes that come until the forgotten one would have been full start with an empty limit: a limit can't be passed by having the volume forgotten. Volumes with open requests stay.

--- a/src/main/java/cypressglade/config/Budget.java
+++ b/src/main/java/cypressglade/config/Budget.java
@@ -39,6 +39,7 @@
     private static final int FREE_DIVISOR = 2;
 
     private static final int REFUSALS_DIVISOR = 8;
+    private static final int VOLUMES_DIVISOR = 4;
 
     /** The limits of one process that serves alone. */
     public Budget(int memoryMb, int sockets) {
@@ -90,7 +91,8 @@
     /** What the scheduling policy may remember of requests that are over. */
     public MemoryBounds memoryBounds() {
         return new MemoryBounds(
-                entries(historyBytes() / REFUSALS_DIVISOR, RecentEntries.BYTES_PER_ENTRY));
+                entries(historyBytes() / REFUSALS_DIVISOR, RecentEntries.BYTES_PER_ENTRY),
+                entries(historyBytes() / VOLUMES_DIVISOR, MemoryBounds.BYTES_PER_VOLUME));
     }
 
     private static int entries(int bytes, int bytesPerEntry) {
--- a/src/main/java/cypressglade/core/SchedulingPolicy.java
+++ b/src/main/java/cypressglade/core/SchedulingPolicy.java
@@ -115,7 +115,7 @@
     private final Map<Long, TrackedNode> nodes = new LinkedHashMap<>();
     final Map<Integer, TrackedNode> nodesByShard = new TreeMap<>();
     private final Map<Long, PendingRequest> openRequests = new HashMap<>();
-    private final TrackedVolumes volumes = new TrackedVolumes(this);
+    private final TrackedVolumes volumes;
     private final Map<Long, ArrayDeque<PendingRequest>> orderedQueues = new HashMap<>();
     private final Map<Long, Long> keyPausedUntil = new HashMap<>();
     private final FurtherAttemptBudget furtherAttempts = new FurtherAttemptBudget();
@@ -152,6 +152,7 @@
             long nowUs, Settings settings, Actions actions, MemoryBounds memoryBounds) {
         this.actions = actions;
         this.refusedRequests = new RefusedRequests(memoryBounds.refusedRequests());
+        this.volumes = new TrackedVolumes(this, memoryBounds.volumes());
         this.random = new SplittableRandom(settings.seed());
         this.createdAt = this.demandUpdatedAt = nowUs;
         this.demandUnits = settings.maxUnits(); // a high demand is assumed until it is known
--- a/src/main/java/cypressglade/core/TrackedVolume.java
+++ b/src/main/java/cypressglade/core/TrackedVolume.java
@@ -19,7 +19,8 @@
     private final SchedulingPolicy policy;
     Plan plan;
     int instances = 1;
-    private long id, refilledAt;
+    private final long id;
+    private long refilledAt;
     long lastRequestAt;
     double reserveUnits, limitUnits, pendingUnits, excessRate, servedHereRate;
     private double servedEverywhereRate = -1;
@@ -41,6 +42,10 @@
         limitUnits = Math.min(plan.limitBurst(), filled) / policy.limitShares.maxDivisor(instances);
     }
 
+    long id() {
+        return id;
+    }
+
     double limitDivisor(long now) {
         return policy.limitShares.volumeDivisor(now, id, instances);
     }
@@ -88,9 +93,12 @@
      * the same if it was created anew.
      */
     boolean canBeForgotten(long now) {
-        return limitWait(now, plan.limitBurst() / limitDivisor(now)) <= 0
-                && pendingUnits <= 0
-                && now - lastRequestAt > MAX_IDLE_MICROS;
+        return fullAt(now) <= now && pendingUnits <= 0 && now - lastRequestAt > MAX_IDLE_MICROS;
+    }
+
+    /** Brings the volume up to now; returns when it may use its whole burst if it stays idle. */
+    long fullAt(long now) {
+        return now + (long) Math.ceil(limitWait(now, plan.limitBurst() / limitDivisor(now)));
     }
 
     void learnServedRate(int percent) {
--- a/src/test/java/cypressglade/process/KeptMemoryIT.java
+++ b/src/test/java/cypressglade/process/KeptMemoryIT.java
@@ -42,6 +42,17 @@
                                 "units=2,shard=7,hosts=1"));
     }
 
+    /** Guards against volumes that are kept for a minute each, however many are named once. */
+    @Test
+    void volumesThatAreNamedOnceLeaveNoMoreThanTheirRoom() throws Exception {
+        play(
+                40_000,
+                number ->
+                        request(
+                                "/job-read/" + hex(number) + "/00000000000000e1",
+                                "units=2,shard=7,hosts=1"));
+    }
+
     private static String request(String path, String info) {
         return Site.request("GET", path, Site.headers(WAIT_MS, "standard", info), "");
     }
