End a connection's timer with the phase or the connection that it bounds

Cause: NbdListener started a timer of 10 s for each connection that was never cancelled and held the handshake, the connection and its buffers; 12 clients leave any number of closed ones. peer.TransferServer (3 s) and the pulls of TransferClient did the same. Now a connection has one bound on its phase, Connection.limitPhase, which ends with the phase or the connection.

--- a/src/main/java/cypressglade/nbd/NbdListener.java
+++ b/src/main/java/cypressglade/nbd/NbdListener.java
@@ -122,22 +122,24 @@
         }
         clients.add(connection);
         connection.setReadLimit(HANDSHAKE_READ_BYTES);
-        ServerHandshake handshake =
-                new ServerHandshake(
-                        connection,
-                        configuration.front(),
-                        this::isDraining,
-                        (export, structured) ->
-                                new Transmission(this, connection, export, structured),
-                        () -> removeClient(connection));
-        loop.executeAfter(
+        connection.limitPhase(
                 HANDSHAKE_TIMEOUT,
                 () -> {
-                    if (!handshake.isComplete()) {
-                        removeClient(connection);
-                        connection.close();
-                    }
+                    removeClient(connection);
+                    connection.close();
                 });
+        new ServerHandshake(
+                connection,
+                configuration.front(),
+                this::isDraining,
+                (export, structured) -> startTransmission(connection, export, structured),
+                () -> removeClient(connection));
+    }
+
+    private Transmission startTransmission(
+            Connection connection, Export export, boolean structured) {
+        connection.endPhase();
+        return new Transmission(this, connection, export, structured);
     }
 
     private boolean isDraining(Optional<Export> export) {
--- a/src/main/java/cypressglade/nbd/ServerHandshake.java
+++ b/src/main/java/cypressglade/nbd/ServerHandshake.java
@@ -68,10 +68,6 @@
                         .flip());
     }
 
-    boolean isComplete() {
-        return transmission != null;
-    }
-
     @Override
     public void received(ByteBuffer in) throws IOException {
         sections.feed(in);
--- a/src/main/java/cypressglade/net/Connection.java
+++ b/src/main/java/cypressglade/net/Connection.java
@@ -3,12 +3,14 @@
 import cypressglade.core.MonotonicClock;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayDeque;
 import java.util.List;
 import org.xnio.IoUtils;
 import org.xnio.Options;
 import org.xnio.StreamConnection;
+import org.xnio.XnioExecutor;
 
 /**
  * A stream connection, usually TCP. All methods must be called on the I/O thread. Its owner has to
@@ -20,6 +22,8 @@
     /** Bytes of output that are passed to one write, as each is copied to a direct buffer whole. */
     private static final int WRITE_CHUNK_BYTES = 64 * 1024;
 
+    private static final XnioExecutor.Key NO_TIMER = () -> false;
+
     private final EventLoop loop;
     private final StreamConnection connection;
     private final ArrayDeque<ByteBuffer> output = new ArrayDeque<>();
@@ -33,6 +37,7 @@
     private Instant lastActivity = MonotonicClock.now();
     private Instant lastWritten = lastActivity;
     private int readLimit = EventLoop.INPUT_BUFFER_BYTES;
+    private XnioExecutor.Key phaseTimer = NO_TIMER;
 
     /** Receives the events of a connection, on the I/O thread. */
     public interface Listener {
@@ -92,6 +97,24 @@
         readLimit = Math.min(bytes, EventLoop.INPUT_BUFFER_BYTES);
     }
 
+    /**
+     * Bounds the time of a phase of this connection, such as a handshake: {@code onTimeout} runs
+     * unless {@link #endPhase} is called or the connection closes before. Nothing of the phase is
+     * kept after that. A new phase takes the place of the one before.
+     */
+    public void limitPhase(Duration duration, Runnable onTimeout) {
+        endPhase();
+        if (!isClosed) {
+            phaseTimer = loop.executeAfter(duration, onTimeout);
+        }
+    }
+
+    /** Ends the phase that {@link #limitPhase} bounds, if there is one. */
+    public void endPhase() {
+        phaseTimer.remove();
+        phaseTimer = NO_TIMER;
+    }
+
     /** Whether neither side has ended the connection as far as this side has read. */
     public boolean isOpen() {
         return !isClosed;
@@ -231,6 +254,7 @@
     /** Closes the connection and discards unsent output; the listener gets no further events. */
     public void close() {
         isClosed = true;
+        endPhase();
         output.clear();
         IoUtils.safeClose(connection);
     }
@@ -331,9 +355,7 @@
         if (!isClosed) {
             connection.getSourceChannel().suspendReads();
             connection.getSinkChannel().suspendWrites();
-            isClosed = true;
-            output.clear();
-            IoUtils.safeClose(connection);
+            close();
             notification.run();
         }
     }
--- a/src/main/java/cypressglade/peer/TransferClient.java
+++ b/src/main/java/cypressglade/peer/TransferClient.java
@@ -17,6 +17,7 @@
 import java.util.Optional;
 import java.util.concurrent.Executor;
 import java.util.function.Supplier;
+import org.xnio.XnioExecutor;
 
 /**
  * Requests members, observations and verdicts from another instance over TCP. Frames are verified
@@ -79,6 +80,7 @@
         private final int maxObservations;
         private final Listener listener;
         private final FrameCodec frames = new FrameCodec(this::handleFrame);
+        private XnioExecutor.Key timeout;
         private EventLoop.PendingConnection dial;
         private Connection wire;
         private boolean closed;
@@ -94,7 +96,7 @@
         }
 
         void start(InetSocketAddress from) {
-            loop.executeAfter(TIMEOUT, () -> fail("no answer in time"));
+            timeout = loop.executeAfter(TIMEOUT, () -> fail("no answer in time"));
             dial =
                     loop.connect(
                             local,
@@ -186,6 +188,7 @@
 
         private void closeConnection() {
             closed = true;
+            timeout.remove();
             if (wire != null) {
                 wire.close();
             } else if (dial != null) {
--- a/src/main/java/cypressglade/peer/TransferServer.java
+++ b/src/main/java/cypressglade/peer/TransferServer.java
@@ -58,7 +58,7 @@
         wire.readInto(session);
         wire.send(FrameCodec.encode(FrameCodec.nonce(session.nonce)));
         // Guards against clients that send nothing, or do not read the answer.
-        loop.executeAfter(MAX_CONNECTION_TIME, () -> close(wire));
+        wire.limitPhase(MAX_CONNECTION_TIME, () -> close(wire));
     }
 
     /** Closes a connection; the only place that does. */
--- a/src/test/java/cypressglade/process/KeptMemoryIT.java
+++ b/src/test/java/cypressglade/process/KeptMemoryIT.java
@@ -9,9 +9,11 @@
 import java.io.DataInputStream;
 import java.io.IOException;
 import java.net.Socket;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.LongFunction;
@@ -23,6 +25,7 @@
     private static final int SENDERS = 20;
     private static final int REQUESTS_A_WRITE = 25;
     private static final int WAIT_MS = 60_000;
+    private static final int CALL_LIMIT_MS = 5_000;
 
     /** The room for all that is remembered of requests that are over, and a little of buffers. */
     private static final long MOST_KEPT_KB = 2_500;
@@ -53,6 +56,44 @@
                                 "units=2,shard=7,hosts=1"));
     }
 
+    /** Guards against a timer that holds a connection's handshake after the connection. */
+    @Test
+    void closedNbdHandshakesLeaveNothing() throws Exception {
+        int port = RealScheduler.freePort();
+        Path front = folder.resolve("nbd.json");
+        Files.writeString(
+                front,
+                Files.readString(Path.of("deploy/nbd.json"))
+                        .replace("\"enabled\": false", "\"enabled\": true")
+                        .replace("127.0.0.1:10809", "127.0.0.1:" + port));
+        try (SmallSite site =
+                new SmallSite(
+                        folder,
+                        new HttpPeer(HttpPeer.answer(200, "", "data")),
+                        Optional.empty(),
+                        KeptMemoryIT::longDeadlines,
+                        "--nbd " + front)) {
+            judge(site, 8, 30_000, () -> greet(site, port, 30_000));
+        }
+    }
+
+    /**
+     * Connects anew as soon as the greeting has come; each close is a reset, which frees a port.
+     */
+    private void greet(SmallSite site, int port, int count) {
+        while (answered.get() < count && site.scheduler.alive()) {
+            try (Socket client = new Socket("127.0.0.1", port)) {
+                client.setSoTimeout(CALL_LIMIT_MS);
+                if (client.getInputStream().read() >= 0) {
+                    answered.incrementAndGet();
+                }
+                client.setSoLinger(true, 0);
+            } catch (IOException closed) {
+                RealScheduler.pause(1); // it takes a few at a time
+            }
+        }
+    }
+
     private static String request(String path, String info) {
         return Site.request("GET", path, Site.headers(WAIT_MS, "standard", info), "");
     }
@@ -68,24 +109,29 @@
                         folder,
                         new HttpPeer(HttpPeer.answer(200, "", "data")),
                         KeptMemoryIT::longDeadlines)) {
-            assertThat(site.askUntimed(SmallSite.read(2000)).status()).isEqualTo(200);
-            long before = site.scheduler.heapAfterCollectionKb();
-            List<Thread> senders = new ArrayList<>();
-            for (int i = 0; i < SENDERS; i++) {
-                Thread sender = new Thread(() -> send(site, count, request), "sender");
-                sender.start();
-                senders.add(sender);
-            }
-            for (Thread sender : senders) {
-                sender.join();
-            }
-            assertThat(site.scheduler.alive()).as("the scheduler is alive").isTrue();
-            long kept = site.scheduler.heapAfterCollectionKb() - before;
-            System.out.printf("%d answers, %d KB kept%n", answered.get(), kept);
-            assertThat(answered.get()).isGreaterThanOrEqualTo(count);
-            assertThat(kept).as("KB kept").isLessThan(MOST_KEPT_KB);
-            assertThat(site.askUntimed(SmallSite.read(2000)).status()).isEqualTo(200);
+            judge(site, SENDERS, count, () -> send(site, count, request));
+        }
+    }
+
+    /** Has senders play, and compares the heap in use after them with that before. */
+    private void judge(SmallSite site, int senders, int count, Runnable play) throws Exception {
+        assertThat(site.askUntimed(SmallSite.read(2000)).status()).isEqualTo(200);
+        long before = site.scheduler.heapAfterCollectionKb();
+        List<Thread> threads = new ArrayList<>();
+        for (int i = 0; i < senders; i++) {
+            Thread sender = new Thread(play, "sender");
+            sender.start();
+            threads.add(sender);
+        }
+        for (Thread sender : threads) {
+            sender.join();
         }
+        assertThat(site.scheduler.alive()).as("the scheduler is alive").isTrue();
+        long kept = site.scheduler.heapAfterCollectionKb() - before;
+        System.out.printf("%d answers, %d KB kept%n", answered.get(), kept);
+        assertThat(answered.get()).isGreaterThanOrEqualTo(count);
+        assertThat(kept).as("KB kept").isLessThan(MOST_KEPT_KB);
+        assertThat(site.askUntimed(SmallSite.read(2000)).status()).isEqualTo(200);
     }
 
     private static String longDeadlines(String text) {
--- a/src/test/java/cypressglade/process/RealScheduler.java
+++ b/src/test/java/cypressglade/process/RealScheduler.java
@@ -69,11 +69,12 @@
     private final Process process;
     private final List<String> output = new CopyOnWriteArrayList<>();
 
-    private RealScheduler(Place place, Optional<FaultLibrary> faults) throws IOException {
+    private RealScheduler(Place place, Optional<FaultLibrary> faults, String options)
+            throws IOException {
         this.place = place;
         door = freePort();
         ProcessBuilder builder =
-                new ProcessBuilder("/bin/sh", "-c", "exec sh deploy/run.sh")
+                new ProcessBuilder("/bin/sh", "-c", "exec sh deploy/run.sh " + options)
                         .redirectErrorStream(true);
         builder.environment().put("ROUTER_CONFIG", place.config().toString());
         builder.environment().put("ROUTER_OPERATOR", "127.0.0.1:" + door);
@@ -91,12 +92,24 @@
 
     /** Starts one and returns at once. */
     static RealScheduler begin(Place place, Optional<FaultLibrary> faults) throws IOException {
-        return new RealScheduler(place, faults);
+        return begin(place, faults, "");
+    }
+
+    /** Starts one with options of the command line, and returns at once. */
+    static RealScheduler begin(Place place, Optional<FaultLibrary> faults, String options)
+            throws IOException {
+        return new RealScheduler(place, faults, options);
     }
 
     /** Starts one and waits until it takes clients. */
     static RealScheduler start(Place place, Optional<FaultLibrary> faults) throws IOException {
-        RealScheduler scheduler = begin(place, faults);
+        return start(place, faults, "");
+    }
+
+    /** Starts one with options of the command line, and waits until it takes clients. */
+    static RealScheduler start(Place place, Optional<FaultLibrary> faults, String options)
+            throws IOException {
+        RealScheduler scheduler = begin(place, faults, options);
         scheduler.awaitReady();
         return scheduler;
     }
--- a/src/test/java/cypressglade/process/SmallSite.java
+++ b/src/test/java/cypressglade/process/SmallSite.java
@@ -41,6 +41,17 @@
     /** One whose scheduler is under a library of faults. */
     SmallSite(Path folder, StandIn node, Optional<FaultLibrary> faults, UnaryOperator<String> edit)
             throws IOException {
+        this(folder, node, faults, edit, "");
+    }
+
+    /** One whose scheduler has options of the command line besides. */
+    SmallSite(
+            Path folder,
+            StandIn node,
+            Optional<FaultLibrary> faults,
+            UnaryOperator<String> edit,
+            String options)
+            throws IOException {
         this.node = node;
         String entry = Site.entry(0, node.hostPort(), "active", 0);
         place = Place.in(folder, entry, "127.0.0.1:1", MEMORY_MB);
@@ -50,7 +61,7 @@
                 edit.apply(
                         text.replaceAll("\"objectiveUs\":\\d+", "\"objectiveUs\":1500000")
                                 .replaceAll("\"deadlineUs\":\\d+", "\"deadlineUs\":2000000")));
-        scheduler = RealScheduler.start(place, faults);
+        scheduler = RealScheduler.start(place, faults, options);
     }
 
     /** The headers of a request of two units whose client waits so long. */
