Divide up the heap that a process has, also above 256 MB and after a reload

Cause: the start script counts 256 MB at the most, config.Budget all of it, so each bound on bytes was larger than the heap; a reload with more memory did the same, as a heap does not change then. Now Budget counts as the script does, a test holds them to each other, and a process bounds its parts by the heap that it has. All parts are added up for every value of memory_mb: what is left beside them is at least what a program that serves nobody uses.

RunScriptTest's rows of 257 MB and more fail before.

--- a/src/main/java/cypressglade/cli/Serve.java
+++ b/src/main/java/cypressglade/cli/Serve.java
@@ -121,6 +121,7 @@
     public Serve(Config config, OperatorFiles files) throws IOException {
         this.config = config;
         this.files = files;
+        Budget budget = inThisHeap(config);
         loop = new EventLoop();
         NodeDirectory directory = new NodeDirectory();
         engine =
@@ -129,14 +130,14 @@
                         directory,
                         counters,
                         files.storms(),
-                        config.budget().memoryBounds());
+                        budget.memoryBounds());
         loop.reportHolds(this::recordHold);
         uncertainWrites =
                 files.storms()
                         .flatMap(StormSettings::uncertainWriteDirectory)
                         .map(UncertainWritesFile::new);
         uncertainWrites.ifPresent(file -> file.open(engine));
-        pool = new RequestPool(config.budget().requests(), STACK_BYTES, counters);
+        pool = new RequestPool(budget.requests(), STACK_BYTES, counters);
         connections =
                 new NodePool(
                         loop,
@@ -144,10 +145,8 @@
                         counters,
                         config.connectTimeout(),
                         config.idleLimit(),
-                        config.budget().nodeConnections());
-        nodes =
-                new NodeClient(
-                        connections, config.budget().answerBytes(), config.settings().loadNames());
+                        budget.nodeConnections());
+        nodes = new NodeClient(connections, budget.answerBytes(), config.settings().loadNames());
         nbdNodes = files.nbd().map(front -> new NbdNodeLink(connections, front));
         engine.start(
                 node ->
@@ -248,7 +247,7 @@
                 pool,
                 nodes,
                 () -> ready && !evacuated,
-                config.budget(),
+                inThisHeap(config),
                 files.storms().map(Serve::connectionPacer));
     }
 
@@ -299,9 +298,13 @@
         }
     }
 
+    private static Budget inThisHeap(Config config) {
+        return config.budget().inHeapOf(Runtime.getRuntime().maxMemory());
+    }
+
     /** Gives each part its values of a configuration, by how many processes share its limits. */
     private void applyBudget(Config shared) {
-        Budget budget = shared.budget().among(processes);
+        Budget budget = inThisHeap(shared).among(processes);
         clients.applySettings(shared.settings(), budget);
         pool.resize(budget.requests(), budget.threads());
         nodes.reconfigure(budget.answerBytes(), shared.settings().loadNames());
--- a/src/main/java/cypressglade/config/Budget.java
+++ b/src/main/java/cypressglade/config/Budget.java
@@ -12,8 +12,13 @@
  * @param memoryMb the limit on memory in MB, for all processes of this scheduler together
  * @param sockets the limit on descriptors, for all of them together
  * @param processes how many serve as this scheduler now
+ * @param maxHeapBytes what the heap of this process may grow to; {@link #UNKNOWN_HEAP} before it
+ *     runs, when the sizes of {@code deploy/run.sh} hold
  */
-public record Budget(int memoryMb, int sockets, int processes) {
+public record Budget(int memoryMb, int sockets, int processes, long maxHeapBytes) {
+    /** The heap of a process that is not started yet. */
+    public static final long UNKNOWN_HEAP = Long.MAX_VALUE;
+
     /**
      * The JVM's libraries, archive, pipes and selectors, discovery, and connections just being
      * closed.
@@ -27,6 +32,9 @@
     /** The heap is a part of what the limit leaves beside this; {@code deploy/run.sh} sets it. */
     private static final int BESIDE_HEAPS_MB = 48;
 
+    /** Memory beyond this does not enlarge the heap. */
+    private static final int MAX_COUNTED_MB = 256;
+
     private static final int HEAP_DIVISOR = 6;
     private static final int MIN_HEAP_MB = 8;
     private static final int INPUT_DIVISOR = 4;
@@ -43,17 +51,32 @@
 
     /** The limits of one process that serves alone. */
     public Budget(int memoryMb, int sockets) {
-        this(memoryMb, sockets, 1);
+        this(memoryMb, sockets, 1, UNKNOWN_HEAP);
     }
 
     /** The same limits where {@code count} processes serve as this scheduler. */
     public Budget among(int count) {
-        return new Budget(memoryMb, sockets, count);
+        return new Budget(memoryMb, sockets, count, maxHeapBytes);
+    }
+
+    /**
+     * The same limits in a process whose heap is known. A heap does not change with a reload, and
+     * may have been started with another size: the bounds are then parts of the smaller one.
+     */
+    public Budget inHeapOf(long bytes) {
+        return new Budget(memoryMb, sockets, processes, bytes);
     }
 
     /** The heap of one process, in bytes. */
     public int heapBytes() {
-        return Math.max(MIN_HEAP_MB, (memoryMb - BESIDE_HEAPS_MB) / HEAP_DIVISOR) * BYTES_PER_MB;
+        int counted = Math.min(memoryMb, MAX_COUNTED_MB);
+        int mb = Math.max(MIN_HEAP_MB, (counted - BESIDE_HEAPS_MB) / HEAP_DIVISOR);
+        return (int) Math.min(mb * BYTES_PER_MB, maxHeapBytes);
+    }
+
+    /** What is left of the heap beside the bodies and all that is remembered, for all else. */
+    public int unassignedHeapBytes() {
+        return heapBytes() - inputBytes() - 2 * answerBytes() - historyBytes();
     }
 
     /** Requests that may be open at once, waiting or sent. */
--- a/src/test/java/cypressglade/cli/RunScriptTest.java
+++ b/src/test/java/cypressglade/cli/RunScriptTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import cypressglade.config.Budget;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -12,6 +13,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * The script that starts a scheduler, where no program but java is to be found: it may start no
@@ -60,6 +62,15 @@
                 .doesNotContain("not found", "ActiveProcessorCount");
     }
 
+    /** Guards against a script and a budget that count the memory differently. */
+    @ParameterizedTest
+    @ValueSource(ints = {32, 96, 104, 128, 144, 192, 255, 256, 257, 300, 512, 1024, 2048, 65536})
+    void givesTheHeapThatTheBudgetDividesUp(int memory) throws Exception {
+        int megabytes = new Budget(memory, 1024).heapBytes() >> 20;
+        assertThat(output(start("{\"limits\":{\"memory_mb\":" + memory + "}}")))
+                .contains(" -Xms" + megabytes + "m -Xmx" + megabytes + "m ");
+    }
+
     /**
      * The platform stops what it started: the script has to become the scheduler, not its parent.
      */
--- a/src/test/java/cypressglade/config/ConfigTest.java
+++ b/src/test/java/cypressglade/config/ConfigTest.java
@@ -159,6 +159,27 @@
                 .isLessThanOrEqualTo(memory * 1024 * 1024 / 7);
     }
 
+    /** Guards against bounds on bytes that together are more than the heap that they protect. */
+    @Test
+    void allPartsOfTheHeapFitIntoItWhateverTheMemory() {
+        for (int memory = 32; memory <= 1 << 20; memory += memory < 4096 ? 1 : 4096) {
+            Budget budget = new Budget(memory, 1024);
+            assertThat(budget.inputBytes()).as("%d MB", memory).isPositive();
+            assertThat(budget.unassignedHeapBytes())
+                    .as("beside all parts, for a program that serves nobody, at %d MB", memory)
+                    .isGreaterThanOrEqualTo(3 << 20);
+        }
+    }
+
+    /** Guards against bounds that follow a reload while the heap stays as it was at the start. */
+    @Test
+    void partsFollowTheHeapThatTheProcessHas() {
+        Budget started = new Budget(128, 1024).inHeapOf(12 << 20);
+        Budget reloaded = new Budget(256, 1024).inHeapOf(12 << 20);
+        assertThat(reloaded.heapBytes()).isEqualTo(started.heapBytes()).isEqualTo(12 << 20);
+        assertThat(reloaded.inputBytes()).isEqualTo(started.inputBytes());
+    }
+
     /**
      * Guards against limits that are kept by each process of an upgrade and passed by both
      * together.
