Hold every write in one register until no client can send it again

Cause: only a write that had ended without service, or whose client was seen to leave, was remembered; so what we believed of a client decided. Now storm.WriteRegister has each write of a class that must not run twice from its admission on: open, or ended and perhaps run, for doubt_s after its end. A marked try passes only where there is none like it. One that was refused has left the register, so a retry after a refusal passes. Each write has an entry of its own. An unmarked try whose first byte came before a retry like it that was let by is failed too. Ended writes are 64-bit fingerprints in a table of a fixed size, booked in config.Budget with the scopes and slots of the storms; times are handed over as spans, as the wall clock may be stepped meanwhile. What NBD sends is not entered, as nothing comes again there.

--- a/src/main/java/cypressglade/config/Budget.java
+++ b/src/main/java/cypressglade/config/Budget.java
@@ -2,6 +2,7 @@
 
 import cypressglade.core.MemoryBounds;
 import cypressglade.recent.RecentEntries;
+import cypressglade.storm.StormMemory;
 
 /**
  * The limits on this program's memory and descriptors and how they are divided among its parts; the
@@ -48,6 +49,9 @@
 
     private static final int REFUSALS_DIVISOR = 8;
     private static final int VOLUMES_DIVISOR = 4;
+    private static final int WRITES_DIVISOR = 3;
+    private static final int SLOTS_DIVISOR = 6;
+    private static final int SCOPES_DIVISOR = 8;
 
     /** The limits of one process that serves alone. */
     public Budget(int memoryMb, int sockets) {
@@ -115,7 +119,16 @@
     public MemoryBounds memoryBounds() {
         return new MemoryBounds(
                 entries(historyBytes() / REFUSALS_DIVISOR, RecentEntries.BYTES_PER_ENTRY),
-                entries(historyBytes() / VOLUMES_DIVISOR, MemoryBounds.BYTES_PER_VOLUME));
+                entries(historyBytes() / VOLUMES_DIVISOR, MemoryBounds.BYTES_PER_VOLUME),
+                stormMemory());
+    }
+
+    private StormMemory stormMemory() {
+        int scopes = entries(historyBytes() / SCOPES_DIVISOR, StormMemory.BYTES_PER_SCOPE);
+        return new StormMemory(
+                Math.max(1, scopes / 2), // of nodes, and as many of volumes
+                entries(historyBytes() / SLOTS_DIVISOR, StormMemory.BYTES_PER_BOOKED_SLOT),
+                entries(historyBytes() / WRITES_DIVISOR, StormMemory.BYTES_PER_WRITE));
     }
 
     private static int entries(int bytes, int bytesPerEntry) {
--- a/src/main/java/cypressglade/core/Engine.java
+++ b/src/main/java/cypressglade/core/Engine.java
@@ -145,6 +145,7 @@
                         presentSettings ->
                                 new RetryStormFilter(
                                         presentSettings,
+                                        memoryBounds.storms(),
                                         settings,
                                         coldWindow,
                                         counters,
@@ -389,11 +390,9 @@
                             task.isServed = true;
                             stormFilter.ifPresent(
                                     filter -> filter.served(task, MonotonicClock.now()));
-                        } else {
-                            stormFilter.ifPresent(
-                                    filter -> filter.recordUnserved(task, MonotonicClock.now()));
                         }
                     }
+                    task.isOver |= isOver;
                     scheduler.handleOutcome(
                             now(),
                             new Outcome(
@@ -408,9 +407,22 @@
                     if (isOver) {
                         endUnmade(task, stillOpen);
                     }
+                    endWriteIfOver(task);
                 });
     }
 
+    /** Reports that the ends of attempts will not be reported, as their task has failed. */
+    void attemptsLost(RequestTask<?> task) {
+        post(() -> task.mayHaveRun = true);
+    }
+
+    /** A write stays open until it is over and each attempt that was ordered has ended. */
+    private void endWriteIfOver(RequestTask<?> task) {
+        if (task.isOver && task.orderedAttempts <= task.endedAttempts) {
+            stormFilter.ifPresent(filter -> filter.ended(task, MonotonicClock.now()));
+        }
+    }
+
     /** Reports attempts that were ordered and that a request which has ended will not make. */
     private void endUnmade(RequestTask<?> task, int stillOpen) {
         while (task.orderedAttempts > task.endedAttempts + stillOpen) {
@@ -426,22 +438,6 @@
         post(() -> scheduler.handleAnswerSilence(now(), task.id, attempt, isSilent));
     }
 
-    /**
-     * Reports that the client of a request disconnected; a write that may have run by then is
-     * uncertain from now on. The task reports it as well, by {@link #withdraw}, but may do so only
-     * after the client's retry has arrived.
-     */
-    void clientDisconnected(RequestTask<?> task) {
-        stormFilter.ifPresent(
-                filter ->
-                        post(
-                                () ->
-                                        filter.recordIfUncertain(
-                                                task,
-                                                task.orderedAttempts > task.endedAttempts,
-                                                MonotonicClock.now())));
-    }
-
     /**
      * Ends a request that is owed no answer any more. Without an attempt in flight, one may still
      * have been ordered that its task will not make: it is reported as never run, so that the
@@ -451,14 +447,12 @@
         post(
                 () -> {
                     open.remove(task.id);
-                    stormFilter.ifPresent(
-                            filter ->
-                                    filter.recordIfUncertain(
-                                            task, isInFlight, MonotonicClock.now()));
+                    task.isOver = true;
                     scheduler.handleWithdrawal(now(), task.id);
                     if (!isInFlight) {
                         endUnmade(task, 0);
                     }
+                    endWriteIfOver(task);
                 });
     }
 
@@ -518,7 +512,7 @@
             RequestTask<?> task = open.get(requestId);
             task.orderedAttempts++;
             task.node = node;
-            task.firstSent = task.firstSent == null ? MonotonicClock.now() : task.firstSent;
+            stormFilter.ifPresent(filter -> filter.sent(task, MonotonicClock.now()));
             task.signal(new RequestTask.Send(node, Micros.toDuration(timeoutUs)));
         }
 
@@ -582,8 +576,8 @@
             signal(requestId, signal);
             RequestTask<?> task = open.remove(requestId);
             if (task != null) {
-                stormFilter.ifPresent(
-                        filter -> filter.recordIfUncertain(task, false, MonotonicClock.now()));
+                task.isOver = true;
+                endWriteIfOver(task);
             }
         }
     }
--- a/src/main/java/cypressglade/core/IoRequest.java
+++ b/src/main/java/cypressglade/core/IoRequest.java
@@ -19,6 +19,8 @@
  * @param expiry when the client stops waiting for the answer
  * @param idempotencyToken stands for the key by which nodes drop repeats of the request; 0 where
  *     the client gave none
+ * @param receivedAt when its first byte was read; empty where its client never sends a request
+ *     again
  */
 public record IoRequest(
         int shard,
@@ -30,9 +32,10 @@
         long key,
         float units,
         Instant expiry,
-        long idempotencyToken) {
+        long idempotencyToken,
+        Optional<Instant> receivedAt) {
 
-    /** A request without an idempotency key. */
+    /** A request without an idempotency key, whose client never sends a request again. */
     public IoRequest(
             int shard,
             RequestRules rules,
@@ -43,7 +46,18 @@
             long key,
             float units,
             Instant expiry) {
-        this(shard, rules, instances, isRetry, write, volume, key, units, expiry, 0);
+        this(
+                shard,
+                rules,
+                instances,
+                isRetry,
+                write,
+                volume,
+                key,
+                units,
+                expiry,
+                0,
+                Optional.empty());
     }
 
     /** The same request with its expiry moved forward to {@code last} if it is later. */
@@ -60,7 +74,24 @@
                         key,
                         units,
                         last,
-                        idempotencyToken);
+                        idempotencyToken,
+                        receivedAt);
+    }
+
+    /** The same request, whose first byte was read then. */
+    public IoRequest withReceivedAt(Instant firstByteAt) {
+        return new IoRequest(
+                shard,
+                rules,
+                instances,
+                isRetry,
+                write,
+                volume,
+                key,
+                units,
+                expiry,
+                idempotencyToken,
+                Optional.of(firstByteAt));
     }
 
     /**
--- a/src/main/java/cypressglade/core/RequestTask.java
+++ b/src/main/java/cypressglade/core/RequestTask.java
@@ -5,6 +5,7 @@
 import cypressglade.core.RequestLog.Event;
 import cypressglade.core.Scheduler.Status;
 import cypressglade.storm.ClientRequest;
+import cypressglade.storm.WriteRegister.OpenWrite;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Optional;
@@ -61,8 +62,9 @@
 
     // Used by the engine thread alone, for its retry storm filter where it has one.
     ClientRequest stormRequest;
-    Instant firstSent;
+    Optional<OpenWrite> openWrite = Optional.empty();
     boolean mayHaveRun;
+    boolean isOver;
 
     private enum Phase {
         /** Waits for the scheduling policy's order, without a thread. */
@@ -164,8 +166,6 @@
      */
     public void clientDisconnected() {
         hasClientLeft = true;
-        // Before the client can send the request again by another connection.
-        engine.clientDisconnected(this);
         signal(new ClientGone());
     }
 
@@ -176,6 +176,7 @@
             runAttempts();
         } catch (RuntimeException | Error fault) {
             log.record(responder.requestId(), Event.CUT_OFF, "its task failed: " + fault);
+            engine.attemptsLost(this);
             // The client is owed an answer all the same.
             if (!isAnswered) {
                 fail();
--- a/src/main/java/cypressglade/core/RetryStormFilter.java
+++ b/src/main/java/cypressglade/core/RetryStormFilter.java
@@ -9,6 +9,7 @@
 import cypressglade.storm.RetryAdmission.Speed;
 import cypressglade.storm.StormDetector;
 import cypressglade.storm.StormLogLines;
+import cypressglade.storm.StormMemory;
 import cypressglade.storm.StormSettings;
 import java.time.Duration;
 import java.time.Instant;
@@ -20,9 +21,9 @@
 
 /**
  * Connects the engine to {@link RetryAdmission}, which keeps storms of client retries from the
- * scheduling policy: asks it about each request before the policy gets it, when the policy refuses
- * one, and when a write ends that may have run without its client knowing. Only converts between
- * the types of the two packages; all decisions are made there. Owned by the engine thread.
+ * scheduling policy: asks it about each request before the policy gets it and when the policy
+ * refuses one, and tells it how each write ends. Only converts between the types of the two
+ * packages; all decisions are made there. Owned by the engine thread.
  */
 final class RetryStormFilter implements RetryAdmission.Listener {
     private static final System.Logger LOG = System.getLogger(RetryStormFilter.class.getName());
@@ -52,6 +53,7 @@
      */
     RetryStormFilter(
             StormSettings stormSettings,
+            StormMemory memory,
             Settings settings,
             Duration coldWindow,
             Counters counters,
@@ -59,7 +61,8 @@
         this.counters = counters;
         this.coldWindow = coldWindow;
         admission =
-                new RetryAdmission(stormSettings, new SplittableRandom(settings.seed()), this, now);
+                new RetryAdmission(
+                        stormSettings, memory, new SplittableRandom(settings.seed()), this, now);
         applySettings(settings);
     }
 
@@ -96,12 +99,31 @@
             case TURNED_AWAY -> task.signal(new RequestTask.Refuse(decision.retryAfter()));
             case IN_DOUBT -> task.signal(new RequestTask.Fail());
             default -> {
+                task.openWrite = admission.writes().enter(task.stormRequest, now);
                 return false;
             }
         }
         return true;
     }
 
+    /** Reports that an attempt of a request is sent. */
+    void sent(RequestTask<?> task, Instant now) {
+        task.openWrite.ifPresent(write -> write.sent(now));
+    }
+
+    /** Reports that a request is over and none of its attempts is in flight. */
+    void ended(RequestTask<?> task, Instant now) {
+        task.openWrite.ifPresent(
+                write -> {
+                    if (task.mayHaveRun) {
+                        admission.writes().endUncertain(write, now);
+                    } else {
+                        admission.writes().endUnrun(write);
+                    }
+                });
+        task.openWrite = Optional.empty();
+    }
+
     void served(RequestTask<?> task, Instant now) {
         admission.recordServed(task.stormRequest, now);
     }
@@ -111,32 +133,9 @@
         return admission.scheduleRetry(task.stormRequest, advice, now);
     }
 
-    /**
-     * Records a request as uncertain if it may have run: it has ended for its client without an
-     * answer that says so.
-     *
-     * @param isInFlight whether an attempt of it is in flight
-     */
-    void recordIfUncertain(RequestTask<?> task, boolean isInFlight, Instant now) {
-        if (task.stormRequest != null && (isInFlight || task.mayHaveRun)) {
-            admission.uncertainWrites().add(task.stormRequest, task.firstSent, now);
-        }
-    }
-
-    /**
-     * Records how a request ended whose last attempt did not serve it: as uncertain if it may have
-     * run, and as certain again if no attempt has run.
-     */
-    void recordUnserved(RequestTask<?> task, Instant now) {
-        recordIfUncertain(task, false, now);
-        if (task.stormRequest != null && !task.mayHaveRun) {
-            admission.uncertainWrites().remove(task.stormRequest);
-        }
-    }
-
     /** The uncertain writes, serialized for the next generation of this instance. */
     byte[] uncertainWrites(Instant now) {
-        return admission.uncertainWrites().serialize(now);
+        return admission.writes().serialize(now);
     }
 
     /**
@@ -145,8 +144,8 @@
      */
     void restoreUncertainWrites(Optional<byte[]> previous, Instant now) {
         previous.ifPresentOrElse(
-                admission.uncertainWrites()::restore,
-                () -> admission.uncertainWrites().assumeAllUncertain(now));
+                writes -> admission.writes().restore(writes, now),
+                () -> admission.writes().assumeAllUncertain(now));
     }
 
     /** The storm detector's form of a request. */
@@ -163,11 +162,13 @@
                 effect(type, request),
                 request.idempotencyToken(),
                 Micros.toDuration(type.keyTtlUs()),
-                request.expiry());
+                request.expiry(),
+                request.receivedAt());
     }
 
     private static ClientRequest.Effect effect(RequestClass type, IoRequest request) {
-        if (type.effect() == Scheduler.Effect.SAFE) {
+        // Where a front knows no retries, nothing comes again.
+        if (type.effect() == Scheduler.Effect.SAFE || request.receivedAt().isEmpty()) {
             return ClientRequest.Effect.NONE;
         }
         return type.effect() == Scheduler.Effect.KEYED && request.idempotencyToken() != 0
--- a/src/main/java/cypressglade/http/ClientConnection.java
+++ b/src/main/java/cypressglade/http/ClientConnection.java
@@ -47,6 +47,7 @@
     private final InputQueue pending = new InputQueue();
     private Phase phase = Phase.IDLE;
     private Instant since = MonotonicClock.now();
+    private Instant firstByteAt = since; // of what is received, or waits to be handled
     private Optional<ClientRequest> request = Optional.empty();
     private Optional<AnswerStream> stream = Optional.empty();
     private String requestId = RequestLog.NO_ID;
@@ -180,6 +181,9 @@
 
     @Override
     public void received(ByteBuffer in) {
+        if (pending.isEmpty() && !isReceiving()) {
+            firstByteAt = MonotonicClock.now();
+        }
         if (canHandle() && pending.isEmpty()) {
             handle(in);
             handlePendingBody();
@@ -337,6 +341,14 @@
         connection.send(ByteBuffer.wrap(CONTINUE));
     }
 
+    /**
+     * When the first byte of the request that is received was read, or of one before it that came
+     * at once with it.
+     */
+    Instant firstByteAt() {
+        return firstByteAt;
+    }
+
     /** Notes when a head was complete; the first request's time counts from the connect. */
     void noteHead(Instant arrived) {
         since = wasAnswered ? arrived : since;
--- a/src/main/java/cypressglade/http/RequestHandler.java
+++ b/src/main/java/cypressglade/http/RequestHandler.java
@@ -199,7 +199,10 @@
         IoRequest request;
         BodyDecoder body;
         try {
-            request = parser.parse(head, arrived).withDeadlineAtMost(latestDeadline);
+            request =
+                    parser.parse(head, arrived)
+                            .withDeadlineAtMost(latestDeadline)
+                            .withReceivedAt(client.firstByteAt());
             body = bodyDecoder(head);
             if (!traceIds.register(head.first(RequestHead.TRACE_ID))) {
                 throw new RejectedRequestException(
--- a/src/main/java/cypressglade/http/RequestParser.java
+++ b/src/main/java/cypressglade/http/RequestParser.java
@@ -10,6 +10,7 @@
 import java.time.Instant;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -112,7 +113,8 @@
                         remainingMillis
                                 - Math.min(
                                         MAX_MARGIN.toMillis(), remainingMillis / MARGIN_DIVISOR)),
-                hashKey(head.first(RequestHead.IDEMPOTENCY_KEY)));
+                hashKey(head.first(RequestHead.IDEMPOTENCY_KEY)),
+                Optional.of(arrived));
     }
 
     /**
--- a/src/main/java/cypressglade/storm/ClientRequest.java
+++ b/src/main/java/cypressglade/storm/ClientRequest.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Optional;
 
 /**
  * One request of a client, original or retry, as far as retry admission needs to know it.
@@ -17,6 +18,7 @@
  * @param token stands for the client's idempotency key, 0 where it gave none
  * @param keyTtl how long nodes remember an idempotency key and drop repeats of it
  * @param expiry when the client gives up on this request
+ * @param receivedAt when its first byte was read; empty where that is not known
  */
 public record ClientRequest(
         int shard,
@@ -29,7 +31,40 @@
         Effect effect,
         long token,
         Duration keyTtl,
-        Instant expiry) {
+        Instant expiry,
+        Optional<Instant> receivedAt) {
+    /** From the finalizer of MurmurHash3. */
+    private static final long MIX_FACTOR = 0xc4ceb9fe1a85ec53L;
+
+    private static final int MIX_SHIFT = 33;
+
+    /** A request of which it is not known when its first byte was read. */
+    public ClientRequest(
+            int shard,
+            long volume,
+            double weight,
+            long key,
+            String requestClass,
+            double units,
+            boolean isRetry,
+            Effect effect,
+            long token,
+            Duration keyTtl,
+            Instant expiry) {
+        this(
+                shard,
+                volume,
+                weight,
+                key,
+                requestClass,
+                units,
+                isRetry,
+                effect,
+                token,
+                keyTtl,
+                expiry,
+                Optional.empty());
+    }
 
     /** What running a request a second time would do. */
     public enum Effect {
@@ -41,10 +76,20 @@
         TWICE
     }
 
-    /** What an original request and its retries have in common. */
-    record Fingerprint(long volume, long key, String requestClass, double units, long token) {}
+    /**
+     * A number that an original request and its retries have in common, and with hardly any other
+     * request. It is the same in every process.
+     */
+    long fingerprint() {
+        long hash = mixed(volume);
+        hash = mixed(hash + key);
+        hash = mixed(hash + requestClass.hashCode());
+        hash = mixed(hash + Double.doubleToLongBits(units));
+        return mixed(hash + token);
+    }
 
-    Fingerprint fingerprint() {
-        return new Fingerprint(volume, key, requestClass, units, token);
+    private static long mixed(long number) {
+        long product = (number ^ number >>> MIX_SHIFT) * MIX_FACTOR;
+        return product ^ product >>> MIX_SHIFT;
     }
 }
--- a/src/main/java/cypressglade/storm/RetryAdmission.java
+++ b/src/main/java/cypressglade/storm/RetryAdmission.java
@@ -24,12 +24,6 @@
  * <p>Time and randomness come in as arguments. Not safe for use by several threads.
  */
 public final class RetryAdmission {
-    /** Nodes, and volumes, that are watched at a time; the least recently used one is dropped. */
-    private static final int MAX_SCOPES = 4096;
-
-    /** Bookings held at a time over all nodes, some 300 bytes each. */
-    private static final int MAX_BOOKED_SLOTS = 32_768;
-
     /** How late a retry may be for its slot: the way of the answer and of the retry. */
     private static final Duration SLOT_GRACE = Duration.ofMillis(250);
 
@@ -50,12 +44,13 @@
     private final StormSettings settings;
     private final RandomGenerator random;
     private final Listener listener;
-    private final Map<Integer, NodeScope> nodes = scopes();
-    private final Map<Long, Scope> volumes = scopes();
+    private final StormMemory memory;
+    private final Map<Integer, NodeScope> nodes;
+    private final Map<Long, Scope> volumes;
     private final Set<Scope> unsettled = new HashSet<>(); // scopes that are not calm
     private final Map<Integer, Speed> nodeSpeeds = new HashMap<>();
     private final Scope instance;
-    private final UncertainWrites uncertainWrites;
+    private final WriteRegister writes;
     private Duration maxRetryDelay = Duration.ZERO;
     private double totalUnitsPerSecond;
     private int bookedSlots;
@@ -94,7 +89,7 @@
         CAME_EARLY,
         /** A retry was refused. */
         TURNED_AWAY,
-        /** A retry was not sent, as it could have run a write twice. */
+        /** A request was not sent, as it could have run a write twice. */
         WRITES_KEPT_ONCE
     }
 
@@ -212,28 +207,42 @@
         }
     }
 
+    /** Creates the admission control of one instance whose memory nobody bounds. */
+    public RetryAdmission(
+            StormSettings settings, RandomGenerator random, Listener listener, Instant now) {
+        this(settings, StormMemory.UNBOUNDED, random, listener, now);
+    }
+
     /**
      * Creates the admission control of one instance, with every scope calm and no slots booked.
      *
+     * @param memory how much is remembered; the least recently used is dropped
      * @param random spreads retries in time
      * @param listener receives state changes and counted events, in the caller's thread
      */
     public RetryAdmission(
-            StormSettings settings, RandomGenerator random, Listener listener, Instant now) {
+            StormSettings settings,
+            StormMemory memory,
+            RandomGenerator random,
+            Listener listener,
+            Instant now) {
         this.settings = settings;
+        this.memory = memory;
+        nodes = scopes(memory.scopes());
+        volumes = scopes(memory.scopes());
         this.random = random;
         this.listener = listener;
         instance = new Scope("instance", now);
-        uncertainWrites = new UncertainWrites(settings.uncertainWriteTtl(), now);
+        writes = new WriteRegister(memory.writes(), settings.uncertainWriteTtl(), now);
     }
 
-    private static <K, S extends Scope> Map<K, S> scopes() {
+    private static <K, S extends Scope> Map<K, S> scopes(int capacity) {
         return new LinkedHashMap<>(16, 0.75f, true) {
             private static final long serialVersionUID = 1;
 
             @Override
             protected boolean removeEldestEntry(Map.Entry<K, S> eldest) {
-                if (size() <= MAX_SCOPES) {
+                if (size() <= capacity) {
                     return false;
                 }
                 eldest.getValue().onDropped();
@@ -281,12 +290,14 @@
             for (Scope scope : List.of(node, volume, instance)) {
                 scope.budget.deposit(scope.detector.admittedRetryRatio(now));
             }
-            return Decision.PASS;
         }
-        if (uncertainWrites.mayRunTwice(request, now)) {
+        if (writes.mayRunTwice(request, now)) {
             listener.counted(Count.WRITES_KEPT_ONCE);
             return Decision.IN_DOUBT;
         }
+        if (!request.isRetry()) {
+            return Decision.PASS;
+        }
         if (arrival != Arrival.UNBOOKED) {
             listener.counted(arrival == Arrival.EARLY ? Count.CAME_EARLY : Count.SLOTS_KEPT);
         }
@@ -341,7 +352,7 @@
             return Duration.ZERO;
         }
         Optional<Instant> time =
-                bookedSlots >= MAX_BOOKED_SLOTS
+                bookedSlots >= memory.bookedSlots()
                         ? Optional.empty()
                         : node.updateSlots(
                                 slots ->
@@ -367,9 +378,12 @@
         return instance.state != State.CALM;
     }
 
-    /** The writes that may have run. */
-    public UncertainWrites uncertainWrites() {
-        return uncertainWrites;
+    /**
+     * The writes that could come again. Whoever sends a request on that {@link #admit} has passed
+     * enters it here.
+     */
+    public WriteRegister writes() {
+        return writes;
     }
 
     /** The scopes that are not calm, by the name that operators read. */
--- a/src/main/java/cypressglade/storm/RetrySlots.java
+++ b/src/main/java/cypressglade/storm/RetrySlots.java
@@ -1,6 +1,5 @@
 package cypressglade.storm;
 
-import cypressglade.storm.ClientRequest.Fingerprint;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayDeque;
@@ -34,7 +33,7 @@
     private final Duration grace;
     // Units promised in each slot whose retries may still come.
     private final Map<Long, Double> unitsBySlot = new HashMap<>();
-    private final Map<Fingerprint, ArrayDeque<Booking>> byFingerprint = new HashMap<>();
+    private final Map<Long, ArrayDeque<Booking>> byFingerprint = new HashMap<>();
     private final Set<Booking> inOrder = new LinkedHashSet<>(); // of booking, not of slots
     private final Map<Long, VolumePacing> pacingByVolume = new HashMap<>();
     private double totalWeight; // of all volumes that hold bookings
@@ -58,17 +57,15 @@
     }
 
     private static final class Booking {
-        private final Fingerprint fingerprint;
+        private final long volume;
+        private final long fingerprint;
         private final Instant from;
         private final Instant until;
         private final Map<Long, Double> unitsBySlot;
 
-        Booking(
-                Fingerprint fingerprint,
-                Instant from,
-                Instant until,
-                Map<Long, Double> unitsBySlot) {
-            this.fingerprint = fingerprint;
+        Booking(ClientRequest refused, Instant from, Instant until, Map<Long, Double> unitsBySlot) {
+            this.volume = refused.volume();
+            this.fingerprint = refused.fingerprint();
             this.from = from;
             this.until = until;
             this.unitsBySlot = unitsBySlot;
@@ -143,8 +140,7 @@
             return Optional.empty();
         }
         Instant time = startOf(begin).plusNanos((long) (random.nextDouble() * slotNanos));
-        Booking booking =
-                new Booking(refused.fingerprint(), time, startOf(slot).plus(grace), parts);
+        Booking booking = new Booking(refused, time, startOf(slot).plus(grace), parts);
         parts.forEach((number, units) -> unitsBySlot.merge(number, units, Double::sum));
         byFingerprint
                 .computeIfAbsent(booking.fingerprint, fingerprint -> new ArrayDeque<>(1))
@@ -203,9 +199,9 @@
                                         units - released <= MIN_UNITS
                                                 ? null
                                                 : Double.valueOf(units - released)));
-        VolumePacing pacing = pacingByVolume.get(booking.fingerprint.volume());
+        VolumePacing pacing = pacingByVolume.get(booking.volume);
         pacing.bookings--;
-        removeIfIdle(booking.fingerprint.volume(), pacing);
+        removeIfIdle(booking.volume, pacing);
     }
 
     private void removeIfIdle(long volume, VolumePacing pacing) {
--- a/src/main/java/cypressglade/storm/UncertainWrites.java
+++ b/src/main/java/cypressglade/storm/UncertainWrites.java
@@ -1,142 +1,162 @@
 package cypressglade.storm;
 
+import cypressglade.recent.RecentEntries;
+import cypressglade.recent.RecentEntries.Entry;
 import cypressglade.storm.ClientRequest.Effect;
-import cypressglade.storm.ClientRequest.Fingerprint;
-import cypressglade.storm.UncertainWritesCodec.Snapshot;
 import java.time.Duration;
 import java.time.Instant;
-import java.util.Iterator;
-import java.util.LinkedHashMap;
-import java.util.Map;
+import java.time.temporal.ChronoUnit;
+import java.util.ArrayList;
+import java.util.List;
 
 /**
- * Remembers uncertain writes: those that may have run but were not answered as served. They are
- * kept for as long as their client could retry them, and a retry that could run one a second time
- * is never sent. The number is bounded: where it is reached the oldest write is dropped, and until
- * its time is over every retry of a write counts as uncertain, as it may be a retry of that one.
- * The same holds after a restart without an orderly stop, as the writes that were open then are not
- * known.
+ * Remembers writes that have ended and may have run, whether or not they were answered: their
+ * clients may not have read the answer. They are kept for as long as a client could retry them, and
+ * a retry that could run one a second time is never sent. The number is bounded: where it is
+ * reached the oldest write is dropped, and until its time is over every retry of a write counts as
+ * uncertain, as it may be a retry of that one. The same holds after a restart without an orderly
+ * stop, as the writes that were open then are not known.
  *
  * <p>Not safe for use by several threads.
  */
-public final class UncertainWrites {
-    /** Writes that are remembered at a time, some 200 bytes of memory each. */
-    public static final int MAX_WRITES = 8192;
-
+final class UncertainWrites {
     /**
      * Part of the time for which nodes remember an idempotency key during which a retry is sent.
      */
     private static final double SAFE_KEY_TTL_FRACTION = 0.5;
 
-    private final int maxWrites;
     private final Duration ttl;
-    private final Map<Fingerprint, Entry> entries = new LinkedHashMap<>(); // oldest first
+    private final RecentEntries entries; // key: fingerprint; first: first send; second: expiry
     private Instant allUncertainUntil;
 
     /**
-     * What is known of one uncertain write.
+     * A write that is handed over to another process.
      *
-     * @param firstSent when it was first sent to a node
-     * @param expiry when it is forgotten
+     * @param fingerprint what it has in common with its retries
+     * @param remaining for how long it is still remembered
      */
-    record Entry(Instant firstSent, Instant expiry) {}
+    record Remembered(long fingerprint, Duration remaining) {}
 
     /**
-     * Creates an empty memory of {@link #MAX_WRITES} writes.
+     * Creates an empty memory.
      *
+     * @param maxWrites writes that are remembered at a time, at least 1
      * @param ttl how long a write is remembered
      */
-    public UncertainWrites(Duration ttl, Instant now) {
-        this(MAX_WRITES, ttl, now);
-    }
-
     UncertainWrites(int maxWrites, Duration ttl, Instant now) {
-        this.maxWrites = maxWrites;
         this.ttl = ttl;
+        entries = new RecentEntries(maxWrites);
         allUncertainUntil = now;
     }
 
     /**
-     * Remembers a write that may have run and has no answer that says so; a request that changes
-     * nothing is ignored.
+     * Remembers a write that may have run; a request that changes nothing is ignored.
      *
      * @param sent when the request was first sent to a node
      */
-    public void add(ClientRequest write, Instant sent, Instant now) {
+    void add(ClientRequest write, Instant sent, Instant now) {
         if (write.effect() == Effect.NONE) {
             return;
         }
         expire(now);
-        Entry earlier = entries.remove(write.fingerprint());
-        if (earlier == null && entries.size() >= maxWrites) {
-            Iterator<Entry> oldest = entries.values().iterator();
-            allUncertainUntil = later(allUncertainUntil, oldest.next().expiry);
-            oldest.remove();
-        }
+        Entry earlier = entries.get(write.fingerprint());
         // The first send counts, as nodes remember a key from its first run on.
-        entries.put(
-                write.fingerprint(),
-                new Entry(earlier == null ? sent : earlier.firstSent, now.plus(ttl)));
+        long firstSent = earlier == null ? micros(sent) : Math.min(earlier.first(), micros(sent));
+        put(write.fingerprint(), firstSent, now.plus(ttl));
     }
 
-    /** Forgets a write that is now known not to have run. */
-    public void remove(ClientRequest write) {
-        entries.remove(write.fingerprint());
+    private void put(long fingerprint, long firstSent, Instant expiry) {
+        if (entries.isFull() && entries.get(fingerprint) == null) {
+            allUncertainUntil = later(allUncertainUntil, instant(entries.oldest().second()));
+        }
+        entries.put(fingerprint, firstSent, micros(expiry));
     }
 
-    /** Whether sending this request could run a write a second time. */
-    public boolean mayRunTwice(ClientRequest write, Instant now) {
-        if (!write.isRetry() || write.effect() == Effect.NONE) {
+    /** Whether sending this retry could run a write a second time. */
+    boolean mayRunTwice(ClientRequest retry, Instant now) {
+        if (!retry.isRetry() || retry.effect() == Effect.NONE) {
             return false;
         }
         expire(now);
-        Entry entry = entries.get(write.fingerprint());
-        if (entry == null) {
-            return now.isBefore(allUncertainUntil);
-        }
-        Duration safe = Duration.ofNanos((long) (write.keyTtl().toNanos() * SAFE_KEY_TTL_FRACTION));
-        return write.effect() == Effect.TWICE || !now.isBefore(entry.firstSent.plus(safe));
+        Entry entry = entries.get(retry.fingerprint());
+        return entry == null
+                ? now.isBefore(allUncertainUntil)
+                : mayRunTwice(retry, instant(entry.first()), now);
+    }
+
+    /** Whether sending a retry could run a write a second time that was first sent then. */
+    static boolean mayRunTwice(ClientRequest retry, Instant firstSent, Instant now) {
+        Duration safe = Duration.ofNanos((long) (retry.keyTtl().toNanos() * SAFE_KEY_TTL_FRACTION));
+        return retry.effect() == Effect.TWICE || !now.isBefore(firstSent.plus(safe));
+    }
+
+    /** Whether a write is remembered that has this in common with its retries. */
+    boolean contains(long fingerprint, Instant now) {
+        expire(now);
+        return entries.get(fingerprint) != null;
     }
 
     /**
      * Treats all retries of writes as uncertain until the time to live has passed, as it is not
      * known what ran before now.
      */
-    public void assumeAllUncertain(Instant now) {
+    void assumeAllUncertain(Instant now) {
         allUncertainUntil = later(allUncertainUntil, now.plus(ttl));
     }
 
     /** Number of writes that are remembered. */
-    public int size() {
+    int size() {
         return entries.size();
     }
 
+    /** For how long all retries of writes count as uncertain; not negative. */
+    Duration allUncertainFor(Instant now) {
+        Duration left = Duration.between(now, allUncertainUntil);
+        return left.isNegative() ? Duration.ZERO : left;
+    }
+
+    /** The writes that are remembered, oldest first. */
+    List<Remembered> remembered(Instant now) {
+        expire(now);
+        List<Remembered> all = new ArrayList<>(entries.size());
+        entries.forEachKey(
+                key ->
+                        all.add(
+                                new Remembered(
+                                        key,
+                                        Duration.between(
+                                                now, instant(entries.get(key).second())))));
+        return all;
+    }
+
+    /**
+     * Adds what another process remembered. How long ago that was is not known, so every time
+     * starts anew, and a key of a write counts as one that nodes have forgotten.
+     */
+    void addAll(List<Remembered> writes, Duration allUncertainFor, Instant now) {
+        expire(now);
+        allUncertainUntil = later(allUncertainUntil, now.plus(allUncertainFor));
+        // In the order in which they expire, as the oldest entries are looked at first.
+        writes.forEach(write -> put(write.fingerprint(), Long.MIN_VALUE, now.plus(ttl)));
+    }
+
     private static Instant later(Instant one, Instant other) {
         return one.isAfter(other) ? one : other;
     }
 
-    private void expire(Instant now) {
-        Iterator<Entry> oldestFirst = entries.values().iterator();
-        while (oldestFirst.hasNext() && !oldestFirst.next().expiry.isAfter(now)) {
-            oldestFirst.remove();
-        }
+    private static long micros(Instant time) {
+        return ChronoUnit.MICROS.between(Instant.EPOCH, time);
     }
 
-    /** Serializes the remembered writes for {@link #restore}. */
-    public byte[] serialize(Instant now) {
-        expire(now);
-        return UncertainWritesCodec.encode(new Snapshot(allUncertainUntil, entries));
+    private static Instant instant(long micros) {
+        return micros == Long.MIN_VALUE
+                ? Instant.MIN
+                : Instant.EPOCH.plus(micros, ChronoUnit.MICROS);
     }
 
-    /**
-     * Adds the writes that {@link #serialize} returned in an earlier run of the program.
-     *
-     * @throws IllegalArgumentException where the bytes are not in that format; nothing is added
-     *     then
-     */
-    public void restore(byte[] bytes) {
-        Snapshot restored = UncertainWritesCodec.decode(bytes, maxWrites);
-        allUncertainUntil = later(allUncertainUntil, restored.allUncertainUntil());
-        entries.putAll(restored.entries());
+    private void expire(Instant now) {
+        while (entries.size() > 0 && !instant(entries.oldest().second()).isAfter(now)) {
+            entries.remove(entries.oldest().key());
+        }
     }
 }
--- /dev/null
+++ b/src/main/java/cypressglade/storm/WriteRegister.java
@@ -0,0 +1,165 @@
+package cypressglade.storm;
+
+import cypressglade.recent.RecentEntries;
+import cypressglade.recent.RecentEntries.Entry;
+import cypressglade.storm.ClientRequest.Effect;
+import cypressglade.storm.UncertainWrites.Remembered;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.temporal.ChronoUnit;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * All writes that a client could send again: those that are open, from their admission on, and
+ * those that have ended and may have run. It alone decides whether a marked retry of a write may be
+ * sent. A write that has ended unrun, as one that was refused, leaves it; so a retry that follows a
+ * refusal finds nothing, unless another write that is like it is open or may have run. Whether a
+ * client is there or has left decides nothing: one that is cut off seems to be there.
+ *
+ * <p>Each open write is known by its own entry, so the end of one never clears another that has the
+ * same fingerprint. Not safe for use by several threads.
+ */
+public final class WriteRegister {
+    /** Of the retries that were let by, one for so many ended writes is remembered. */
+    static final int WRITES_PER_ADMITTED_RETRY = 4;
+
+    private final Duration ttl;
+    private final UncertainWrites ended;
+    private final Map<Long, List<OpenWrite>> open = new HashMap<>();
+
+    /** Retries that were let by. Key: fingerprint; first: when. */
+    private final RecentEntries admittedRetries;
+
+    /** A write from its admission to its end. */
+    public static final class OpenWrite {
+        private final ClientRequest request;
+        private Instant firstSent;
+
+        private OpenWrite(ClientRequest request) {
+            this.request = request;
+        }
+
+        /** Records that an attempt is sent; the first one counts. */
+        public void sent(Instant now) {
+            if (firstSent == null) {
+                firstSent = now;
+            }
+        }
+    }
+
+    /**
+     * Creates an empty register.
+     *
+     * @param maxWrites writes that have ended and are remembered at a time, at least 1
+     * @param ttl how long a client could retry a write after its end
+     */
+    WriteRegister(int maxWrites, Duration ttl, Instant now) {
+        this.ttl = ttl;
+        ended = new UncertainWrites(maxWrites, ttl, now);
+        admittedRetries = new RecentEntries(Math.max(1, maxWrites / WRITES_PER_ADMITTED_RETRY));
+    }
+
+    /** Enters a request that is admitted; empty for one that changes nothing. */
+    public Optional<OpenWrite> enter(ClientRequest request, Instant now) {
+        if (request.effect() == Effect.NONE) {
+            return Optional.empty();
+        }
+        OpenWrite write = new OpenWrite(request);
+        open.computeIfAbsent(request.fingerprint(), any -> new ArrayList<>(1)).add(write);
+        if (request.isRetry()) {
+            admittedRetries.put(request.fingerprint(), micros(now), 0);
+        }
+        return Optional.of(write);
+    }
+
+    /** Records the end of a write that has not run and will not. */
+    public void endUnrun(OpenWrite write) {
+        remove(write);
+    }
+
+    /** Records the end of a write that may have run, whether or not its client was answered. */
+    public void endUncertain(OpenWrite write, Instant now) {
+        remove(write);
+        ended.add(write.request, write.firstSent == null ? now : write.firstSent, now);
+    }
+
+    private void remove(OpenWrite write) {
+        open.computeIfPresent(
+                write.request.fingerprint(),
+                (fingerprint, alike) -> alike.remove(write) && alike.isEmpty() ? null : alike);
+    }
+
+    /** Whether sending this request could run a write a second time. */
+    public boolean mayRunTwice(ClientRequest request, Instant now) {
+        if (request.effect() == Effect.NONE) {
+            return false;
+        }
+        return request.isRetry()
+                ? ended.mayRunTwice(request, now) || isOpen(request, now)
+                : mayBeOvertaken(request, now);
+    }
+
+    private boolean isOpen(ClientRequest retry, Instant now) {
+        return open.getOrDefault(retry.fingerprint(), List.of()).stream()
+                .anyMatch(
+                        write ->
+                                UncertainWrites.mayRunTwice(
+                                        retry,
+                                        write.firstSent == null ? now : write.firstSent,
+                                        now));
+    }
+
+    /**
+     * Whether an original request may have been sent again and overtaken by that retry: one was let
+     * by after the first byte of this request arrived, and is open or may have run. So it is with a
+     * client that was cut off in the middle of its body.
+     */
+    private boolean mayBeOvertaken(ClientRequest original, Instant now) {
+        long fingerprint = original.fingerprint();
+        Entry retry = admittedRetries.get(fingerprint);
+        return retry != null
+                && original.receivedAt().isPresent()
+                && retry.first() >= micros(original.receivedAt().get())
+                && (open.containsKey(fingerprint) || ended.contains(fingerprint, now));
+    }
+
+    /** Number of writes that are open, or remembered as ended. */
+    public int size() {
+        return ended.size() + open.values().stream().mapToInt(List::size).sum();
+    }
+
+    /**
+     * Treats all retries of writes as uncertain until none of an earlier write can come any more,
+     * as it is not known what ran before now.
+     */
+    public void assumeAllUncertain(Instant now) {
+        ended.assumeAllUncertain(now);
+    }
+
+    /** Serializes what may have run or may yet run, for {@link #restore} by another process. */
+    public byte[] serialize(Instant now) {
+        List<Remembered> writes = new ArrayList<>(ended.remembered(now));
+        open.keySet().forEach(fingerprint -> writes.add(new Remembered(fingerprint, ttl)));
+        return UncertainWritesCodec.encode(
+                new UncertainWritesCodec.Snapshot(ended.allUncertainFor(now), writes));
+    }
+
+    /**
+     * Adds the writes that {@link #serialize} returned in another process.
+     *
+     * @throws IllegalArgumentException where the bytes are not in that format; nothing is added
+     *     then
+     */
+    public void restore(byte[] bytes, Instant now) {
+        UncertainWritesCodec.Snapshot restored = UncertainWritesCodec.decode(bytes);
+        ended.addAll(restored.writes(), restored.allUncertainFor(), now);
+    }
+
+    private static long micros(Instant time) {
+        return ChronoUnit.MICROS.between(Instant.EPOCH, time);
+    }
+}
