Say for each process that it runs, and hand its writes over when it stops

Cause: both processes wrote one file, so the old one's stop stood there while the new one ran; and neither knew of the other while both served. Now each has a file of its own, locked while it lives, and puts its writes in its place when it stops. Who finds a lock fails every marked try of a write; who finds a file without one takes its writes over, or doubts all for doubt_s where there are none. It is looked at with each such try and ten times a second. Where doubt_dir is empty it stands in the operator port's directory, as bans do.

UpgradeMark and the new files share ProcessFile.

--- a/src/main/java/cypressglade/cli/OperatorPort.java
+++ b/src/main/java/cypressglade/cli/OperatorPort.java
@@ -16,10 +16,8 @@
 import java.nio.channels.FileLock;
 import java.nio.channels.OverlappingFileLockException;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
-import java.nio.file.attribute.PosixFilePermissions;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Optional;
@@ -148,12 +146,7 @@
 
     /** Whoever serves holds the lock; a process that an upgrade starts beside it leaves a mark. */
     private void takeLockOrMark() throws IOException {
-        if (!Files.isDirectory(directory)) {
-            Files.createDirectories(
-                    directory,
-                    PosixFilePermissions.asFileAttribute(
-                            PosixFilePermissions.fromString("rwx------")));
-        }
+        ProcessFile.createDirectory(directory);
         if (lockFile.isEmpty()) {
             lockFile =
                     Optional.of(
--- a/src/main/java/cypressglade/cli/Serve.java
+++ b/src/main/java/cypressglade/cli/Serve.java
@@ -29,6 +29,7 @@
 import cypressglade.storm.StormSettings;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.file.Path;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
@@ -89,7 +90,7 @@
     private final Optional<Peers> peers;
     private final Optional<ControlService> control;
     private final Optional<OperatorPort> operatorPort;
-    private final Optional<UncertainWritesFile> uncertainWrites;
+    private final Optional<WriteHandover> writeHandover;
     private final AtomicLong evacuations = new AtomicLong();
     private final Object startLock = new Object();
     private boolean stopping; // guarded by startLock
@@ -132,11 +133,8 @@
                         files.storms(),
                         budget.memoryBounds());
         loop.reportHolds(this::recordHold);
-        uncertainWrites =
-                files.storms()
-                        .flatMap(StormSettings::uncertainWriteDirectory)
-                        .map(UncertainWritesFile::new);
-        uncertainWrites.ifPresent(file -> file.open(engine));
+        writeHandover = writeHandover();
+        writeHandover.ifPresent(engine::shareWrites);
         pool = new RequestPool(budget.requests(), STACK_BYTES, counters);
         connections =
                 new NodePool(
@@ -187,6 +185,22 @@
         nbdListener = nbdListener(directory);
     }
 
+    /**
+     * By the directory of the operators' file, or that of the operator port where it names none.
+     */
+    private Optional<WriteHandover> writeHandover() {
+        return files.storms()
+                .flatMap(
+                        storms ->
+                                storms.uncertainWriteDirectory()
+                                        .or(() -> config.operator().map(port -> sharedDirectory())))
+                .map(WriteHandover::new);
+    }
+
+    private Path sharedDirectory() {
+        return OperatorPort.sharedDirectory(config.name(), System.getenv(TEMPORARY));
+    }
+
     private Optional<ControlService> controlService(ManualDrains drains) throws IOException {
         if (files.control().isEmpty()) {
             return Optional.empty();
@@ -258,8 +272,7 @@
         }
         SharedIdFile file =
                 new SharedIdFile(
-                        OperatorPort.sharedDirectory(config.name(), System.getenv(TEMPORARY))
-                                .resolve(TRACE_IDS + config.listen().getPort()),
+                        sharedDirectory().resolve(TRACE_IDS + config.listen().getPort()),
                         ClientListener.sharedIdBytes());
         clients.shareIds(file::map);
     }
@@ -474,7 +487,7 @@
         if (stopOpening()) {
             answerAll(told);
         }
-        uncertainWrites.ifPresent(file -> file.close(engine));
+        writeHandover.ifPresent(handover -> handover.stop(engine));
         peers.ifPresent(Peers::close);
         control.ifPresent(ControlService::close);
         operatorPort.ifPresent(OperatorPort::close);
@@ -531,6 +544,7 @@
         nbdListener.ifPresent(NbdListener::close);
         pool.close();
         engine.close();
+        writeHandover.ifPresent(WriteHandover::release);
         loop.close();
     }
 }
--- a/src/main/java/cypressglade/cli/UpgradeMark.java
+++ b/src/main/java/cypressglade/cli/UpgradeMark.java
@@ -1,72 +1,39 @@
 package cypressglade.cli;
 
 import java.io.IOException;
-import java.nio.ByteBuffer;
-import java.nio.channels.FileChannel;
-import java.nio.channels.FileLock;
-import java.nio.channels.OverlappingFileLockException;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.DirectoryIteratorException;
-import java.nio.file.DirectoryStream;
 import java.nio.file.Files;
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
-import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 
 /**
- * The file by which a process that starts beside another tells it so, and that it takes clients. It
- * is locked for as long as its process lives: the kernel gives the lock back at its death, however
- * early that comes. A process number would not tell: it may be another's by then.
+ * The file by which a process that starts beside another tells it so, and that it takes clients.
  */
 final class UpgradeMark implements AutoCloseable {
     private static final String PREFIX = "coming.";
     private static final String UNFINISHED = "new.";
     private static final String SERVING = "takes clients";
 
-    private final Path file;
-    private final FileChannel channel;
+    private final ProcessFile file;
 
     /** Another process's mark: whether it takes clients. */
     record Other(boolean serving) {}
 
-    private UpgradeMark(Path file, FileChannel channel) {
+    private UpgradeMark(ProcessFile file) {
         this.file = file;
-        this.channel = channel;
     }
 
-    /**
-     * Leaves a mark. It gets its name once it is locked, so that nobody takes it for a dead one's.
-     */
+    /** Leaves a mark. */
     static UpgradeMark leave(Path directory) throws IOException {
-        String unique = ProcessHandle.current().pid() + "." + System.nanoTime();
-        Path unfinished = directory.resolve(UNFINISHED + unique);
-        FileChannel channel =
-                FileChannel.open(
-                        unfinished, StandardOpenOption.CREATE_NEW, StandardOpenOption.WRITE);
-        try {
-            if (channel.tryLock() == null) {
-                throw new IOException(unfinished + " is locked by another");
-            }
-            Path file =
-                    Files.move(
-                            unfinished,
-                            directory.resolve(PREFIX + unique),
-                            StandardCopyOption.ATOMIC_MOVE);
-            return new UpgradeMark(file, channel);
-        } catch (IOException failed) {
-            channel.close();
-            Files.deleteIfExists(unfinished);
-            throw failed;
-        }
+        return new UpgradeMark(ProcessFile.create(directory, PREFIX, UNFINISHED, new byte[0]));
     }
 
     /** Says that this process takes clients. */
     void serving() throws IOException {
-        channel.write(ByteBuffer.wrap(SERVING.getBytes(StandardCharsets.US_ASCII)), 0);
+        file.write(SERVING.getBytes(StandardCharsets.US_ASCII));
     }
 
     /**
@@ -77,36 +44,26 @@
      * @throws IOException where the directory cannot be read
      */
     static Optional<Other> other(Path directory, Optional<UpgradeMark> own) throws IOException {
-        living(directory, UNFINISHED, own); // of a process that lives it has its name soon
+        ProcessFile ownFile = own.map(mark -> mark.file).orElse(null);
+        living(directory, UNFINISHED, ownFile); // of a process that lives it has its name soon
         Optional<Other> found = Optional.empty();
-        for (Path mark : living(directory, PREFIX, own)) {
+        for (Path mark : living(directory, PREFIX, ownFile)) {
             boolean serving = found.filter(Other::serving).isPresent() || says(mark);
             found = Optional.of(new Other(serving));
         }
         return found;
     }
 
-    /**
-     * Files of a kind whose processes live; those of dead ones are removed. This process's own is
-     * not touched: to open and close it anywhere in the process would give its lock back (POSIX,
-     * fcntl).
-     */
-    private static List<Path> living(Path directory, String prefix, Optional<UpgradeMark> own)
+    /** Files of a kind whose processes live; those of dead ones are removed. */
+    private static List<Path> living(Path directory, String prefix, ProcessFile own)
             throws IOException {
         List<Path> living = new ArrayList<>();
-        try (DirectoryStream<Path> marks = Files.newDirectoryStream(directory, prefix + "*")) {
-            for (Path mark : marks) {
-                if (own.isPresent() && own.get().file.equals(mark)) {
-                    continue;
-                }
-                if (locked(mark)) {
-                    living.add(mark);
-                } else {
-                    Files.deleteIfExists(mark);
-                }
+        for (Path mark : ProcessFile.others(directory, prefix, own)) {
+            if (ProcessFile.isLocked(mark)) {
+                living.add(mark);
+            } else {
+                Files.deleteIfExists(mark);
             }
-        } catch (DirectoryIteratorException unreadable) {
-            throw unreadable.getCause();
         }
         return living;
     }
@@ -119,20 +76,8 @@
         }
     }
 
-    private static boolean locked(Path mark) throws IOException {
-        try (FileChannel other = FileChannel.open(mark, StandardOpenOption.WRITE);
-                FileLock lock = other.tryLock()) {
-            return lock == null;
-        } catch (OverlappingFileLockException heldHere) {
-            return true; // another in this JVM counts as another process, as in tests
-        } catch (NoSuchFileException ended) {
-            return false;
-        }
-    }
-
     @Override
     public void close() throws IOException {
-        Files.deleteIfExists(file);
-        channel.close();
+        file.close();
     }
 }
--- a/src/main/java/cypressglade/core/Engine.java
+++ b/src/main/java/cypressglade/core/Engine.java
@@ -9,6 +9,7 @@
 import cypressglade.core.Scheduler.QueueView;
 import cypressglade.core.Scheduler.Settings;
 import cypressglade.core.Scheduler.Status;
+import cypressglade.storm.OtherProcesses;
 import cypressglade.storm.StormSettings;
 import java.time.Duration;
 import java.time.Instant;
@@ -171,24 +172,24 @@
     }
 
     /**
-     * Restores the uncertain writes of the previous generation; empty where they are not known. To
-     * be called before {@link #start} and before the listeners open.
+     * Shares the writes that could come again with the other processes of this instance, where the
+     * measures against storms are on. To be called before {@link #start} and before the listeners
+     * open.
      *
-     * @throws IllegalArgumentException where the bytes are not a serialized set of uncertain writes
+     * @param others is asked on the engine thread
      */
-    public void restoreUncertainWrites(Optional<byte[]> previous) {
+    public void shareWrites(OtherProcesses others) {
         // On the caller's thread, as the engine thread, which owns the filter, has not started.
-        stormFilter.ifPresent(
-                filter -> filter.restoreUncertainWrites(previous, MonotonicClock.now()));
+        stormFilter.ifPresent(filter -> filter.shareWrites(others));
     }
 
     /**
-     * Hands the uncertain writes, serialized for the next generation, to {@code reader} on the
-     * engine thread. Does nothing where the measures against storms are off.
+     * Hands the writes that could come again, serialized for another process of this instance, to
+     * {@code reader} on the engine thread. Does nothing where the measures against storms are off.
      */
-    public void readUncertainWrites(Consumer<byte[]> reader) {
+    public void readWrites(Consumer<byte[]> reader) {
         stormFilter.ifPresent(
-                filter -> post(() -> reader.accept(filter.uncertainWrites(MonotonicClock.now()))));
+                filter -> post(() -> reader.accept(filter.writes(MonotonicClock.now()))));
     }
 
     /** Takes new settings; open requests keep what they were given under the previous ones. */
@@ -485,7 +486,7 @@
                 }
                 if (stormFilter.isPresent() && MonotonicClock.until(nextStormCheck).isZero()) {
                     nextStormCheck = MonotonicClock.now().plus(STORM_CHECK_INTERVAL);
-                    stormFilter.get().updateNodes(scheduler.nodeViews(now()), MonotonicClock.now());
+                    stormFilter.get().update(scheduler.nodeViews(now()), MonotonicClock.now());
                     updateAttemptBudget();
                 }
             } catch (InterruptedException interrupted) {
--- a/src/main/java/cypressglade/core/RetryStormFilter.java
+++ b/src/main/java/cypressglade/core/RetryStormFilter.java
@@ -5,6 +5,7 @@
 import cypressglade.core.Scheduler.RequestClass;
 import cypressglade.core.Scheduler.Settings;
 import cypressglade.storm.ClientRequest;
+import cypressglade.storm.OtherProcesses;
 import cypressglade.storm.RetryAdmission;
 import cypressglade.storm.RetryAdmission.Speed;
 import cypressglade.storm.StormDetector;
@@ -133,19 +134,14 @@
         return admission.scheduleRetry(task.stormRequest, advice, now);
     }
 
-    /** The uncertain writes, serialized for the next generation of this instance. */
-    byte[] uncertainWrites(Instant now) {
+    /** The writes that could come again, serialized for another process of this instance. */
+    byte[] writes(Instant now) {
         return admission.writes().serialize(now);
     }
 
-    /**
-     * Restores the uncertain writes of the previous generation. Where they are not known, every
-     * write that could be uncertain is taken to be so.
-     */
-    void restoreUncertainWrites(Optional<byte[]> previous, Instant now) {
-        previous.ifPresentOrElse(
-                writes -> admission.writes().restore(writes, now),
-                () -> admission.writes().assumeAllUncertain(now));
+    /** Shares the writes with the other processes of this instance. */
+    void shareWrites(OtherProcesses others) {
+        admission.writes().share(others);
     }
 
     /** The storm detector's form of a request. */
@@ -177,10 +173,11 @@
     }
 
     /**
-     * Passes on the speed of each shard as the scheduling policy sees it. Each instance counts only
-     * an even share of a shard's speed as its own, because all of them send to it.
+     * Passes on the speed of each shard as the scheduling policy sees it, and looks at the other
+     * processes of this instance. Each instance counts only an even share of a shard's speed as its
+     * own, because all of them send to it.
      */
-    void updateNodes(List<NodeView> views, Instant now) {
+    void update(List<NodeView> views, Instant now) {
         Map<Integer, Speed> speeds = new HashMap<>();
         for (NodeView view : views) {
             if (view.ready() && !view.silent()) {
@@ -200,6 +197,7 @@
         }
         admission.setNodeSpeeds(speeds);
         admission.tick(now);
+        admission.writes().learnOfOthers(now);
     }
 
     @Override
--- a/src/main/java/cypressglade/storm/WriteRegister.java
+++ b/src/main/java/cypressglade/storm/WriteRegister.java
@@ -24,6 +24,8 @@
  * same fingerprint. Not safe for use by several threads.
  */
 public final class WriteRegister {
+    private static final System.Logger LOG = System.getLogger(WriteRegister.class.getName());
+
     /** Of the retries that were let by, one for so many ended writes is remembered. */
     static final int WRITES_PER_ADMITTED_RETRY = 4;
 
@@ -34,6 +36,8 @@
     /** Retries that were let by. Key: fingerprint; first: when. */
     private final RecentEntries admittedRetries;
 
+    private OtherProcesses others = OtherProcesses.NONE;
+
     /** A write from its admission to its end. */
     public static final class OpenWrite {
         private final ClientRequest request;
@@ -93,14 +97,48 @@
                 (fingerprint, alike) -> alike.remove(write) && alike.isEmpty() ? null : alike);
     }
 
-    /** Whether sending this request could run a write a second time. */
+    /** Shares the register with the other processes of this instance from now on. */
+    public void share(OtherProcesses processes) {
+        others = processes;
+    }
+
+    /**
+     * Whether sending this request could run a write a second time. While another process may be
+     * open to clients, that holds of every retry of a write: the first try may be there.
+     */
     public boolean mayRunTwice(ClientRequest request, Instant now) {
         if (request.effect() == Effect.NONE) {
             return false;
         }
-        return request.isRetry()
-                ? ended.mayRunTwice(request, now) || isOpen(request, now)
-                : mayBeOvertaken(request, now);
+        if (!request.isRetry()) {
+            return mayBeOvertaken(request, now);
+        }
+        boolean mayBeElsewhere = learnOfOthers(now);
+        return mayBeElsewhere || ended.mayRunTwice(request, now) || isOpen(request, now);
+    }
+
+    /**
+     * Takes over the writes of processes that have ended; returns whether another may be open to
+     * clients. To be called several times a second as well, as the time for which nothing is known
+     * counts from when it is seen.
+     */
+    public boolean learnOfOthers(Instant now) {
+        OtherProcesses.Findings findings = others.look();
+        for (byte[] writes : findings.handedOver()) {
+            try {
+                restore(writes, now);
+            } catch (IllegalArgumentException foreign) {
+                LOG.log(
+                        System.Logger.Level.WARNING,
+                        "writes of another process cannot be read: {0}",
+                        foreign.getMessage());
+                assumeAllUncertain(now);
+            }
+        }
+        if (findings.hasEndedUnknown()) {
+            assumeAllUncertain(now);
+        }
+        return findings.mayServe();
     }
 
     private boolean isOpen(ClientRequest retry, Instant now) {
--- a/src/test/java/cypressglade/standin/CutClient.java
+++ b/src/test/java/cypressglade/standin/CutClient.java
@@ -53,10 +53,15 @@
         }
     }
 
+    /** Sends the rest of the request on the first connection. */
+    public void sendRest() throws IOException {
+        first.getOutputStream().write(request, sent, request.length - sent);
+    }
+
     /** The link is back, and what it had kept arrives; returns the status of the first answer. */
     public int reconnect() throws IOException {
         first.setSoTimeout(CALL_LIMIT_MS);
-        first.getOutputStream().write(request, sent, request.length - sent);
+        sendRest();
         return Message.read(new DataInputStream(first.getInputStream())).status();
     }
 
