--- a/src/main/java/cypressglade/core/RequestLog.java
+++ b/src/main/java/cypressglade/core/RequestLog.java
@@ -17,6 +17,11 @@
 public final class RequestLog {
     private static final System.Logger LOG = System.getLogger(RequestLog.class.getName());
     private static final int MAX_ENTRIES = 512;
+
+    /** Characters of an id, and of a cause, that an entry keeps: clients choose the ids. */
+    private static final int MAX_ID_LENGTH = 64;
+
+    private static final int MAX_CAUSE_LENGTH = 256;
     private static final int MAX_LINES_PER_PERIOD = 10;
     private static final Duration PERIOD = Duration.ofSeconds(1);
 
@@ -79,7 +84,12 @@
      * @param cause why it happened, in a few words
      */
     public synchronized void record(String id, Event event, String cause) {
-        Entry entry = new Entry(MonotonicClock.now(), id, event, cause);
+        Entry entry =
+                new Entry(
+                        MonotonicClock.now(),
+                        shortened(id, MAX_ID_LENGTH),
+                        event,
+                        shortened(cause, MAX_CAUSE_LENGTH));
         entries.add(entry);
         if (entries.size() > MAX_ENTRIES) {
             entries.poll();
@@ -89,6 +99,10 @@
         }
     }
 
+    private static String shortened(String text, int maxLength) {
+        return text.length() <= maxLength ? text : text.substring(0, maxLength) + "...";
+    }
+
     private void logLimited(Entry entry) {
         LineLimit limit = limits.computeIfAbsent(entry.event(), event -> new LineLimit());
         if (!entry.at().isBefore(limit.periodEnd)) {
--- a/src/test/java/cypressglade/process/KeptMemoryIT.java
+++ b/src/test/java/cypressglade/process/KeptMemoryIT.java
@@ -26,6 +26,7 @@
     private static final int REQUESTS_A_WRITE = 25;
     private static final int WAIT_MS = 60_000;
     private static final int CALL_LIMIT_MS = 5_000;
+    private static final int LONG_ID_BYTES = 15_000;
 
     /** The room for all that is remembered of requests that are over, and a little of buffers. */
     private static final long MOST_KEPT_KB = 2_500;
@@ -56,6 +57,32 @@
                                 "units=2,shard=7,hosts=1"));
     }
 
+    /** Guards against a log that keeps what clients send in place of an id, whole. */
+    @Test
+    void rejectedRequestsWithLongIdsLeaveNoMoreThanTheirRoom() throws Exception {
+        String malformed =
+                "GET /job-read/1/2 HTTP/1.1\r\nHost: x\r\nX-Trace-Id: "
+                        + "i".repeat(LONG_ID_BYTES)
+                        + "\r\n\r\n";
+        try (SmallSite site =
+                new SmallSite(folder, new HttpPeer(HttpPeer.answer(200, "", "data")))) {
+            judge(site, 4, 1500, () -> sendOnce(site, malformed, 1500));
+        }
+    }
+
+    /** Sends one request on each connection, as a rejected one ends it. */
+    private void sendOnce(SmallSite site, String request, int count) {
+        while (answered.get() < count) {
+            try (Socket client = site.scheduler.connect()) {
+                SmallSite.send(client, request);
+                Message.read(new DataInputStream(client.getInputStream()));
+                answered.incrementAndGet();
+            } catch (IOException closed) {
+                RealScheduler.pause(1);
+            }
+        }
+    }
+
     /** Guards against a timer that holds a connection's handshake after the connection. */
     @Test
     void closedNbdHandshakesLeaveNothing() throws Exception {
