Forget what the budget of attempts counts with each request

With a budget on, as in every storm, a flood that fails no attempt left a time for each request. FurtherAttemptBudgetTest counts 100,000 requests in windows of 100; without the change the count of times is that of all (from reading: the test needs the new size).

--- a/src/main/java/cypressglade/core/FurtherAttemptBudget.java
+++ b/src/main/java/cypressglade/core/FurtherAttemptBudget.java
@@ -15,15 +15,22 @@
     /** Counts a request that has arrived. */
     void countRequest(long now, Limits limits) {
         if (limits.hasAttemptBudget()) {
+            removeBefore(requestTimes, now - limits.budgetWindowUs());
             requestTimes.add(now);
         }
     }
 
     /** Counts an attempt after the first of a request. */
-    void countFurther(long now) {
+    void countFurther(long now, Limits limits) {
+        removeBefore(furtherTimes, now - limits.budgetWindowUs());
         furtherTimes.add(now);
     }
 
+    /** How many times are remembered: those of one window. */
+    int size() {
+        return requestTimes.size() + furtherTimes.size();
+    }
+
     /**
      * Whether one more is within the budget.
      *
--- a/src/main/java/cypressglade/core/SchedulingPolicy.java
+++ b/src/main/java/cypressglade/core/SchedulingPolicy.java
@@ -779,7 +779,7 @@
             pending.firstSentAt = now;
             pending.volume.limitUnits -= pending.request.units();
         } else {
-            furtherAttempts.countFurther(now);
+            furtherAttempts.countFurther(now, limits);
         }
         SentAttempt attempt =
                 new SentAttempt(
