--- a/src/test/java/cypressglade/process/FloodIT.java
+++ b/src/test/java/cypressglade/process/FloodIT.java
@@ -167,11 +167,16 @@
     }
 
     private void play(String name, int senders, Load.Client sender) throws Exception {
+        play(name, senders, sender, this::ask);
+    }
+
+    private void play(String name, int senders, Load.Client sender, Load.Client other)
+            throws Exception {
         try (SmallSite played = new SmallSite(folder, script)) {
             site = played;
             assertThat(site.askUntimed(SmallSite.read(WAIT_MS)).status()).isEqualTo(200);
             try (Load flood = new Load(senders, sender);
-                    Load others = new Load(OTHERS, this::ask)) {
+                    Load others = new Load(OTHERS, other)) {
                 RealScheduler.pause(FLOOD_MS);
                 others.stop();
                 flood.stop();
@@ -213,6 +218,45 @@
         return requests.toString();
     }
 
+    /** Guards against work for requests of clients that have left, before that for the others. */
+    @ParameterizedTest
+    @CsvSource({"6, false", "40, false", "150, false", "40, true", "150, true"})
+    void othersAreServedInTimeBesideClientsThatCloseAtOnce(int senders, boolean anew)
+            throws Exception {
+        play(
+                senders + " that close at once, others " + (anew ? "anew" : "connected"),
+                senders,
+                this::closeAtOnce,
+                anew ? this::askAnew : this::ask);
+    }
+
+    /** Sends a request and closes its connection, again and again. */
+    private void closeAtOnce(BooleanSupplier over) {
+        while (!over.getAsBoolean()) {
+            try (Socket client = site.scheduler.connect()) {
+                SmallSite.send(
+                        client,
+                        SmallSite.read(WAIT_MS).replaceFirst("/00000003b4d60021/", OTHER_VOLUME));
+            } catch (IOException refusedByTheMachine) {
+                RealScheduler.pause(10);
+            }
+        }
+    }
+
+    /** Asks on a new connection each time. */
+    private void askAnew(BooleanSupplier over) {
+        while (!over.getAsBoolean()) {
+            try (Socket client = site.scheduler.connect()) {
+                client.setSoTimeout(WAIT_MS);
+                int status = site.ask(client, SmallSite.read(WAIT_MS)).status();
+                (status == 200 ? served : refused).incrementAndGet();
+                RealScheduler.pause(BETWEEN_MS);
+            } catch (IOException lateOrClosed) {
+                late.incrementAndGet();
+            }
+        }
+    }
+
     /** Writes requests as fast as they are taken; ends with the first failure, or once over. */
     private void flood(
             BooleanSupplier over, Supplier<String> first, Supplier<String> next, boolean reading) {
--- a/src/test/java/cypressglade/process/RealScheduler.java
+++ b/src/test/java/cypressglade/process/RealScheduler.java
@@ -160,6 +160,11 @@
         return DoorCall.call(new InetSocketAddress("127.0.0.1", door), line);
     }
 
+    /** Where clients connect. */
+    InetSocketAddress address() {
+        return new InetSocketAddress("127.0.0.1", place.port());
+    }
+
     Socket connect() throws IOException {
         Socket socket = new Socket("127.0.0.1", place.port());
         socket.setTcpNoDelay(true);
--- a/src/test/java/cypressglade/process/SoakIT.java
+++ b/src/test/java/cypressglade/process/SoakIT.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import cypressglade.standin.CutClient;
 import cypressglade.standin.HttpPeer.Message;
 import cypressglade.standin.Site;
 import java.io.DataInputStream;
@@ -39,6 +40,8 @@
     private static final int STEADY_CLIENTS = 12;
     private static final int LEAVING_CLIENTS = 3;
     private static final int CROWD = 200;
+    private static final int CUT_OFF_CLIENTS = 4;
+    private static final String CUT_OFF = "/job-write/00000000000000c7/";
     private static final long BEFORE_TERM_MS = 3000;
     private static final long LONGEST_DEADLINE_MS = 2000;
 
@@ -58,6 +61,7 @@
     private final AtomicBoolean over = new AtomicBoolean();
     private volatile long termAt = Long.MAX_VALUE;
     private volatile long mostMb;
+    private String options = "";
 
     static LongStream seeds() {
         String[] range = System.getProperty("soak.seeds", "1-6").split("-");
@@ -86,7 +90,8 @@
         UnaryOperator<String> edit = mayCopy ? Site::allowSecondCopies : UnaryOperator.identity();
         FaultLibrary library = new FaultLibrary(Files.createDirectory(folder.resolve("faults")));
         library.noteSent();
-        try (SmallSite site = new SmallSite(folder, node, Optional.of(library), edit)) {
+        options = seed % 5 < 2 ? "--storms " + stormsOn() : "";
+        try (SmallSite site = new SmallSite(folder, node, Optional.of(library), edit, options)) {
             List<Thread> clients = startClients(site, new Random(seed));
             play(site, seed, library);
             over.set(true);
@@ -94,6 +99,7 @@
                 client.join();
             }
             judge(node, library.sent());
+            judgeCutOffWrites(node);
         }
         System.out.printf(
                 "soak seed %d: %d answered, %d served, %d MB, broken: %s%n",
@@ -102,6 +108,24 @@
         assertThat(served.get()).isGreaterThan(answered.get() / 3);
     }
 
+    /** A file that turns the measures against storms on. */
+    private Path stormsOn() throws IOException {
+        return Files.writeString(
+                folder.resolve("storms.json"),
+                Files.readString(Path.of("deploy/storms.json"))
+                        .replace("\"enabled\": false", "\"enabled\": true"));
+    }
+
+    /** A write of a client that was cut off runs once, whichever process gets its retry. */
+    private void judgeCutOffWrites(SoakNode node) {
+        node.runsByPath.forEach(
+                (path, count) -> {
+                    if (path.startsWith(CUT_OFF) && count > 1) {
+                        broken.add(path + " of a client that was cut off ran " + count + " times");
+                    }
+                });
+    }
+
     private List<Thread> startClients(SmallSite site, Random seeds) {
         List<Runnable> plays = new ArrayList<>();
         for (int i = 0; i < STEADY_CLIENTS; i++) {
@@ -112,6 +136,10 @@
             Random random = new Random(seeds.nextLong());
             plays.add(() -> leaveUntilOver(site, random));
         }
+        for (int i = 0; i < CUT_OFF_CLIENTS && !options.isEmpty(); i++) {
+            Random random = new Random(seeds.nextLong());
+            plays.add(() -> cutOffUntilOver(site, random));
+        }
         plays.add(() -> floodUntilOver(site));
         plays.add(() -> sendEmptyLinesUntilOver(site));
         return plays.stream()
@@ -140,7 +168,7 @@
         }
         Optional<RealScheduler> next = Optional.empty();
         if (seed % 2 == 0) {
-            next = Optional.of(RealScheduler.start(site.place, Optional.of(library)));
+            next = Optional.of(RealScheduler.start(site.place, Optional.of(library), options));
         }
         List<RealScheduler> all = new ArrayList<>(List.of(site.scheduler));
         next.ifPresent(all::add);
@@ -185,6 +213,25 @@
         }
     }
 
+    /** Clients that lose their link while a write is out, and come again with the mark. */
+    private void cutOffUntilOver(SmallSite site, Random random) {
+        while (!over.get()) {
+            String path = CUT_OFF + String.format("%016x", random.nextLong());
+            int bytes = random.nextInt(4) > 0 ? Integer.MAX_VALUE : random.nextInt(400);
+            String headers = SmallSite.headers(400 + random.nextInt(1400));
+            try (CutClient client =
+                    new CutClient(site.scheduler.address(), path, headers, "payment", bytes)) {
+                RealScheduler.pause(random.nextInt(300));
+                client.comeAgain();
+                if (bytes < Integer.MAX_VALUE) {
+                    client.reconnect();
+                }
+            } catch (IOException ended) {
+                RealScheduler.pause(10); // by the kill, or a request that did not come in time
+            }
+        }
+    }
+
     /** A sound client: asks on one connection, and on a new one when that has ended at rest. */
     private void askUntilOver(SmallSite site, Random random) {
         boolean isOpen = true;
--- a/src/test/java/cypressglade/process/SoakNode.java
+++ b/src/test/java/cypressglade/process/SoakNode.java
@@ -25,6 +25,9 @@
     /** How often each write has run. */
     final Map<String, Integer> runs = new ConcurrentHashMap<>();
 
+    /** How often writes of each path have run. */
+    final Map<String, Integer> runsByPath = new ConcurrentHashMap<>();
+
     private final long seed;
 
     SoakNode(long seed) {
@@ -64,6 +67,7 @@
         }
         if (request.first().startsWith("PUT")) {
             runs.merge(id, 1, Integer::sum);
+            runsByPath.merge(request.first().split(" ")[1], 1, Integer::sum);
         }
         if (kind < 12) {
             HttpPeer.answer(500, "", "").answer(request, out);
--- a/src/test/java/cypressglade/process/UpgradedWriteIT.java
+++ b/src/test/java/cypressglade/process/UpgradedWriteIT.java
@@ -8,7 +8,6 @@
 import cypressglade.standin.Site;
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
-import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -62,12 +61,7 @@
     }
 
     private static CutClient connect(SmallSite site) throws Exception {
-        return new CutClient(
-                new InetSocketAddress("127.0.0.1", site.place.port()),
-                SmallSite.WRITE,
-                HEADERS,
-                BODY,
-                0);
+        return new CutClient(site.scheduler.address(), SmallSite.WRITE, HEADERS, BODY, 0);
     }
 
     private CutClient cutOff(SmallSite site) throws Exception {
