Look at other processes only for a retry that nothing else fails; measure its price

StormMeasure counts retries that were failed though their write had not run, and plays writes to few pieces, where those of other clients look like a first try.

--- a/src/main/java/cypressglade/storm/WriteRegister.java
+++ b/src/main/java/cypressglade/storm/WriteRegister.java
@@ -113,8 +113,10 @@
         if (!request.isRetry()) {
             return mayBeOvertaken(request, now);
         }
-        boolean mayBeElsewhere = learnOfOthers(now);
-        return mayBeElsewhere || ended.mayRunTwice(request, now) || isOpen(request, now);
+        return ended.mayRunTwice(request, now)
+                || isOpen(request, now)
+                || learnOfOthers(now) // which may have ended with writes of their own
+                || ended.mayRunTwice(request, now);
     }
 
     /**
--- a/src/test/java/cypressglade/standin/OutageNode.java
+++ b/src/test/java/cypressglade/standin/OutageNode.java
@@ -72,7 +72,7 @@
             }
             if (!request.first().startsWith("GET /healthz")) {
                 if (request.first().startsWith("PUT")) {
-                    runs.merge(request.first(), 1, Integer::sum);
+                    runs.merge(request.body(), 1, Integer::sum);
                 }
                 long now = System.nanoTime();
                 if (back != 0) {
--- a/src/test/java/cypressglade/storm/StormMeasure.java
+++ b/src/test/java/cypressglade/storm/StormMeasure.java
@@ -22,6 +22,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicIntegerArray;
 import java.util.concurrent.atomic.LongAdder;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 
@@ -38,6 +39,8 @@
     private static final int CLIENTS = 128;
     private static final int MAX_SENDS = 12;
     private static final int EXPIRY_MS = 700;
+    private static final int FAILED = 502;
+    private static final long SHARED_PIECES = 64;
     // Twice the normal load: half of all nodes' speed.
     private static final Duration THINK_TIME = Duration.ofMillis(60);
     private static final int OUTAGE_START_S = 3;
@@ -54,6 +57,11 @@
         private final LongAdder writes = new LongAdder();
         private final LongAdder[] requested = {new LongAdder(), new LongAdder()};
         private final LongAdder[] served = {new LongAdder(), new LongAdder()};
+        private final LongAdder retries = new LongAdder();
+
+        /** Retries that were failed although their write had not run at any node. */
+        private final LongAdder harmlessFailed = new LongAdder();
+
         private long writesRunTwice;
         private double overshoot;
 
@@ -89,8 +97,9 @@
     }
 
     private void run() throws Exception {
-        Run off = runOnSockets(Optional.empty());
-        Run on = runOnSockets(Optional.of(StormSettings.DEFAULTS));
+        Run off = runOnSockets(Optional.empty(), Long.MAX_VALUE);
+        Run on = runOnSockets(Optional.of(StormSettings.DEFAULTS), Long.MAX_VALUE);
+        Run shared = runOnSockets(Optional.of(StormSettings.DEFAULTS), SHARED_PIECES);
         figures.atMost("recovery_s", on.recoverySeconds(), MAX_RECOVERY_S);
         figures.say("recovery_s_off", off.recoverySeconds());
         figures.say("served_least_in_a_second", minServedPerSecond(on));
@@ -101,6 +110,12 @@
                 "writes_run_twice_off",
                 off.writesRunTwice,
                 1); // otherwise the measurement proves nothing
+        figures.say("retries", on.retries.sum());
+        figures.say("harmless_retries_failed", on.harmlessFailed.sum());
+        figures.atMost("shared_writes_run_twice", shared.writesRunTwice, 0);
+        figures.say("shared_retries", shared.retries.sum());
+        figures.say("shared_harmless_retries_failed", shared.harmlessFailed.sum());
+        figures.say("shared_served_share_heeding", shared.servedFraction(0));
         figures.atMost("cold_overshoot", on.overshoot, 1);
         figures.say("served_share_heeding", on.servedFraction(0));
         figures.say("served_share_deaf", on.servedFraction(1));
@@ -124,7 +139,12 @@
 
     // Real sockets.
 
-    private static Run runOnSockets(Optional<StormSettings> settings) throws Exception {
+    /**
+     * @param pieces of each volume that clients write to, so that writes of other clients look like
+     *     a retry's own first try where they are few
+     */
+    private static Run runOnSockets(Optional<StormSettings> settings, long pieces)
+            throws Exception {
         List<OutageNode> nodes = new ArrayList<>();
         for (int i = 0; i < NODES; i++) {
             nodes.add(new OutageNode(NODE_MS, ANSWERS_PER_LOSS));
@@ -145,7 +165,17 @@
             for (int i = 0; i < CLIENTS; i++) {
                 int number = i;
                 Thread thread =
-                        new Thread(() -> runClient(site, run, number, start, end), "client");
+                        new Thread(
+                                () ->
+                                        runClient(
+                                                site,
+                                                run,
+                                                number,
+                                                pieces,
+                                                id -> hasRun(nodes, id),
+                                                start,
+                                                end),
+                                "client");
                 thread.start();
                 clients.add(thread);
             }
@@ -206,7 +236,14 @@
      * One client: those of even number wait for the retry time that they are told (index 0 in the
      * results), the others ignore it and retry after 5 ms (index 1).
      */
-    private static void runClient(Site site, Run run, int number, long start, long end) {
+    private static void runClient(
+            Site site,
+            Run run,
+            int number,
+            long pieces,
+            Predicate<String> hasRun,
+            long start,
+            long end) {
         SplittableRandom random = new SplittableRandom(number);
         int habit = number % 2;
         Socket socket = null;
@@ -218,7 +255,8 @@
                         "/job-write/"
                                 + String.format("%016x", number % 16)
                                 + "/"
-                                + String.format("%016x", random.nextLong());
+                                + String.format("%016x", random.nextLong(pieces));
+                String id = String.format("%016x", random.nextLong());
                 run.requested[habit].increment();
                 run.writes.increment();
                 for (int sends = 0; sends < MAX_SENDS && System.nanoTime() < end; sends++) {
@@ -231,7 +269,7 @@
                                         "standard",
                                         "units=1,shard=" + shard + ",hosts=1");
                         String retryHeader = sends > 0 ? "X-Second-Try: 1\r\n" : "";
-                        String request = Site.request("PUT", path, headers + retryHeader, "data");
+                        String request = Site.request("PUT", path, headers + retryHeader, id);
                         socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
                         answer = Message.read(new DataInputStream(socket.getInputStream()));
                     } catch (IOException closed) {
@@ -252,6 +290,12 @@
                                                 (System.nanoTime() - start) / 1_000_000_000L));
                         break;
                     }
+                    if (sends > 0) {
+                        run.retries.increment();
+                        if (answer != null && answer.status() == FAILED && !hasRun.test(id)) {
+                            run.harmlessFailed.increment();
+                        }
+                    }
                     double wait =
                             answer == null
                                     ? 0
@@ -270,6 +314,10 @@
         }
     }
 
+    private static boolean hasRun(List<OutageNode> nodes, String id) {
+        return nodes.stream().anyMatch(node -> node.runs.containsKey(id));
+    }
+
     private static void closeQuietly(Socket socket) {
         try {
             if (socket != null) {
