Let a write leave the register when its client has read that it was served

Cause: every served write stayed for doubt_s, so where clients write to few pieces nearly each retry after a refusal was failed: harmless, and a price. A confirmed write clears no other: entries count their writes, and know from which one on.

RetriedWriteTest and WriteRegisterTest hold both sides, over random orders.

--- a/src/main/java/cypressglade/core/Engine.java
+++ b/src/main/java/cypressglade/core/Engine.java
@@ -412,6 +412,11 @@
                 });
     }
 
+    /** Reports that the client of a request has read the answer that served it. */
+    void answerRead(AnswerReceipt receipt) {
+        stormFilter.ifPresent(filter -> post(() -> filter.answerRead(receipt)));
+    }
+
     /** Reports that the ends of attempts will not be reported, as their task has failed. */
     void attemptsLost(RequestTask<?> task) {
         post(() -> task.mayHaveRun = true);
--- a/src/main/java/cypressglade/core/RefusedRequests.java
+++ b/src/main/java/cypressglade/core/RefusedRequests.java
@@ -27,7 +27,7 @@
         while (refused.size() > 0 && refused.oldest().second() < now) {
             refused.remove(refused.oldest().key());
         }
-        refused.put(pending.retryFingerprint(0), pending.originalArrivedAt, pending.expiresAt);
+        refused.put(pending.retryFingerprint(0), pending.originalArrivedAt, pending.expiresAt, 0);
     }
 
     /** How many are remembered. */
--- a/src/main/java/cypressglade/core/RequestTask.java
+++ b/src/main/java/cypressglade/core/RequestTask.java
@@ -5,7 +5,6 @@
 import cypressglade.core.RequestLog.Event;
 import cypressglade.core.Scheduler.Status;
 import cypressglade.storm.ClientRequest;
-import cypressglade.storm.WriteRegister.OpenWrite;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Optional;
@@ -42,6 +41,7 @@
     private boolean isClientGone;
 
     private final OpenAttempts attempts;
+    private final AnswerReceipt receipt;
 
     /** Set when the request has ended without an answer of a node. */
     private boolean isFinished;
@@ -62,7 +62,6 @@
 
     // Used by the engine thread alone, for its retry storm filter where it has one.
     ClientRequest stormRequest;
-    Optional<OpenWrite> openWrite = Optional.empty();
     boolean mayHaveRun;
     boolean isOver;
 
@@ -123,6 +122,12 @@
         this.link = link;
         this.log = engine.requestLog();
         this.attempts = new OpenAttempts(request.rules());
+        this.receipt = new AnswerReceipt(engine);
+    }
+
+    /** By which a front reports that the client has read its answer. */
+    public AnswerReceipt receipt() {
+        return receipt;
     }
 
     /** Submits the request to the engine; from here on the pool holds it until it has ended. */
--- a/src/main/java/cypressglade/core/RetryStormFilter.java
+++ b/src/main/java/cypressglade/core/RetryStormFilter.java
@@ -12,6 +12,7 @@
 import cypressglade.storm.StormLogLines;
 import cypressglade.storm.StormMemory;
 import cypressglade.storm.StormSettings;
+import cypressglade.storm.WriteRegister.OpenWrite;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
@@ -100,7 +101,7 @@
             case TURNED_AWAY -> task.signal(new RequestTask.Refuse(decision.retryAfter()));
             case IN_DOUBT -> task.signal(new RequestTask.Fail());
             default -> {
-                task.openWrite = admission.writes().enter(task.stormRequest, now);
+                task.receipt().write = admission.writes().enter(task.stormRequest, now);
                 return false;
             }
         }
@@ -109,20 +110,39 @@
 
     /** Reports that an attempt of a request is sent. */
     void sent(RequestTask<?> task, Instant now) {
-        task.openWrite.ifPresent(write -> write.sent(now));
+        task.receipt().write.ifPresent(write -> write.sent(now));
     }
 
     /** Reports that a request is over and none of its attempts is in flight. */
     void ended(RequestTask<?> task, Instant now) {
-        task.openWrite.ifPresent(
-                write -> {
-                    if (task.mayHaveRun) {
-                        admission.writes().endUncertain(write, now);
-                    } else {
-                        admission.writes().endUnrun(write);
-                    }
-                });
-        task.openWrite = Optional.empty();
+        AnswerReceipt receipt = task.receipt();
+        if (receipt.hasEnded) {
+            return;
+        }
+        receipt.hasEnded = true;
+        receipt.write.ifPresent(write -> end(task, write, now));
+        if (!task.isServed || receipt.isRead) {
+            receipt.write = Optional.empty();
+        }
+    }
+
+    private void end(RequestTask<?> task, OpenWrite write, Instant now) {
+        if (!task.mayHaveRun) {
+            admission.writes().endUnrun(write);
+        } else if (task.isServed && task.receipt().isRead) {
+            admission.writes().endConfirmed(write);
+        } else {
+            admission.writes().endUncertain(write, now);
+        }
+    }
+
+    /** Reports that the client of a request that was served has read the answer. */
+    void answerRead(AnswerReceipt receipt) {
+        receipt.isRead = true;
+        if (receipt.hasEnded) {
+            receipt.write.ifPresent(admission.writes()::confirm);
+            receipt.write = Optional.empty();
+        }
     }
 
     void served(RequestTask<?> task, Instant now) {
--- a/src/main/java/cypressglade/http/ClientConnection.java
+++ b/src/main/java/cypressglade/http/ClientConnection.java
@@ -1,5 +1,6 @@
 package cypressglade.http;
 
+import cypressglade.core.AnswerReceipt;
 import cypressglade.core.AnswerStream;
 import cypressglade.core.MonotonicClock;
 import cypressglade.core.RequestLog;
@@ -50,6 +51,7 @@
     private Instant firstByteAt = since; // of what is received, or waits to be handled
     private Optional<ClientRequest> request = Optional.empty();
     private Optional<AnswerStream> stream = Optional.empty();
+    private Optional<AnswerReceipt> servedReceipt = Optional.empty();
     private String requestId = RequestLog.NO_ID;
     private BodyDecoder bodyDecoder;
     private int openBodyBytes;
@@ -184,6 +186,9 @@
         if (pending.isEmpty() && !isReceiving()) {
             firstByteAt = MonotonicClock.now();
         }
+        if (pending.isEmpty() && phase == Phase.IDLE) {
+            confirmAnswer();
+        }
         if (canHandle() && pending.isEmpty()) {
             handle(in);
             handlePendingBody();
@@ -192,6 +197,20 @@
         settle();
     }
 
+    /**
+     * Clients send one request at a time: one that sends the next has read the answer before. Not
+     * so where it had sent that ahead.
+     */
+    private void confirmAnswer() {
+        servedReceipt.ifPresent(AnswerReceipt::confirm);
+        servedReceipt = Optional.empty();
+    }
+
+    /** Notes that a request is answered as served now; the last one counts. */
+    void noteServed(AnswerReceipt receipt) {
+        servedReceipt = Optional.of(receipt);
+    }
+
     /** Handles a part of what was read before, in this connection's turn. */
     private void takeTurn() {
         isTurnQueued = false;
--- a/src/main/java/cypressglade/http/ClientRequest.java
+++ b/src/main/java/cypressglade/http/ClientRequest.java
@@ -91,6 +91,7 @@
         handler.execute(
                 () -> {
                     if (handler.makeAnswerRoom(this, body.length)) {
+                        noteServed();
                         answer(HttpStatus.OK, "", body);
                     } else {
                         answer(HttpStatus.BAD_GATEWAY, "", EMPTY);
@@ -104,6 +105,7 @@
                 () -> {
                     if (isOpen()) {
                         handler.noteAnswer(this);
+                        noteServed();
                         client.respond(start, rest, handler.closesAfterAnswer());
                     } else {
                         rest.cancel();
@@ -125,6 +127,12 @@
         handler.execute(() -> answer(HttpStatus.BAD_GATEWAY, "", EMPTY));
     }
 
+    private void noteServed() {
+        if (task != null && isOpen()) {
+            client.noteServed(task.receipt());
+        }
+    }
+
     private void answer(HttpStatus status, String fields, byte[] body) {
         if (isOpen()) {
             handler.noteAnswer(this);
--- a/src/main/java/cypressglade/recent/RecentEntries.java
+++ b/src/main/java/cypressglade/recent/RecentEntries.java
@@ -4,14 +4,14 @@
 import java.util.function.LongConsumer;
 
 /**
- * A hash table from a number to two others that holds a fixed number of entries, in the order in
+ * A hash table from a number to three others that holds a fixed number of entries, in the order in
  * which they were put. All of its memory is taken at its creation, {@link #BYTES_PER_ENTRY} for
  * each entry; where it is full a new entry takes the place of the oldest. Every operation on one
  * entry takes constant time on average. Not safe for use by several threads.
  */
 public final class RecentEntries {
     /** Heap that one entry takes at the most, its part of the index included. */
-    public static final int BYTES_PER_ENTRY = 3 * Long.BYTES + 5 * Integer.BYTES;
+    public static final int BYTES_PER_ENTRY = 4 * Long.BYTES + 5 * Integer.BYTES;
 
     private static final int NONE = -1;
 
@@ -23,6 +23,7 @@
     private final long[] keys;
     private final long[] firsts;
     private final long[] seconds;
+    private final long[] thirds;
     private final int[] older; // neighbours in the order of entry
     private final int[] newer;
     private final int[] chained; // next entry of the same bucket, or the next free one
@@ -34,7 +35,7 @@
     private int size;
 
     /** One entry, as it stood when it was read. */
-    public record Entry(long key, long first, long second) {}
+    public record Entry(long key, long first, long second, long third) {}
 
     /**
      * Creates an empty table.
@@ -45,6 +46,7 @@
         keys = new long[capacity];
         firsts = new long[capacity];
         seconds = new long[capacity];
+        thirds = new long[capacity];
         older = new int[capacity];
         newer = new int[capacity];
         chained = new int[capacity];
@@ -82,7 +84,7 @@
     }
 
     /** Puts an entry as the newest, in place of an earlier one of its key or of the oldest. */
-    public void put(long key, long first, long second) {
+    public void put(long key, long first, long second, long third) {
         int known = find(key);
         if (known != NONE) {
             removeAt(known);
@@ -94,6 +96,7 @@
         keys[at] = key;
         firsts[at] = first;
         seconds[at] = second;
+        thirds[at] = third;
         int bucket = bucket(key);
         chained[at] = buckets[bucket];
         buckets[bucket] = at;
@@ -108,6 +111,14 @@
         size++;
     }
 
+    /** Replaces the third number of a key's entry, which keeps its place; ignored without one. */
+    public void setThird(long key, long third) {
+        int at = find(key);
+        if (at != NONE) {
+            thirds[at] = third;
+        }
+    }
+
     /** Returns the entry of a key; null where there is none. */
     public Entry get(long key) {
         return entryAt(find(key));
@@ -138,7 +149,7 @@
     }
 
     private Entry entryAt(int at) {
-        return at == NONE ? null : new Entry(keys[at], firsts[at], seconds[at]);
+        return at == NONE ? null : new Entry(keys[at], firsts[at], seconds[at], thirds[at]);
     }
 
     private int find(long key) {
--- a/src/main/java/cypressglade/storm/StormMemory.java
+++ b/src/main/java/cypressglade/storm/StormMemory.java
@@ -20,8 +20,10 @@
     /** Heap that one booking takes. */
     public static final int BYTES_PER_BOOKED_SLOT = 320;
 
-    /** Heap that one write takes, with the part of {@link WriteRegister} for retries let by. */
+    /**
+     * Heap that one write takes, with its part of what {@link WriteRegister} remembers of retries.
+     */
     public static final int BYTES_PER_WRITE =
             RecentEntries.BYTES_PER_ENTRY
-                    + RecentEntries.BYTES_PER_ENTRY / WriteRegister.WRITES_PER_ADMITTED_RETRY;
+                    + RecentEntries.BYTES_PER_ENTRY / WriteRegister.WRITES_PER_RETRY;
 }
--- a/src/main/java/cypressglade/storm/UncertainWrites.java
+++ b/src/main/java/cypressglade/storm/UncertainWrites.java
@@ -26,7 +26,16 @@
     private static final double SAFE_KEY_TTL_FRACTION = 0.5;
 
     private final Duration ttl;
-    private final RecentEntries entries; // key: fingerprint; first: first send; second: expiry
+
+    /** Bits of an entry's third number that count its writes; the others tell its first write. */
+    private static final int COUNT_BITS = 20;
+
+    private static final long MAX_COUNT = (1L << COUNT_BITS) - 1;
+
+    // Key: fingerprint; first: first send; second: expiry; third: number of the first write of the
+    // entry, and how many it stands for. A count that has reached its maximum says nothing.
+    private final RecentEntries entries;
+    private long lastNumber;
     private Instant allUncertainUntil;
 
     /**
@@ -53,23 +62,52 @@
      * Remembers a write that may have run; a request that changes nothing is ignored.
      *
      * @param sent when the request was first sent to a node
+     * @return the write's number, for {@link #remove}
      */
-    void add(ClientRequest write, Instant sent, Instant now) {
+    long add(ClientRequest write, Instant sent, Instant now) {
+        long number = ++lastNumber;
         if (write.effect() == Effect.NONE) {
-            return;
+            return number;
         }
         expire(now);
         Entry earlier = entries.get(write.fingerprint());
         // The first send counts, as nodes remember a key from its first run on.
         long firstSent = earlier == null ? micros(sent) : Math.min(earlier.first(), micros(sent));
-        put(write.fingerprint(), firstSent, now.plus(ttl));
+        long third =
+                earlier == null
+                        ? number << COUNT_BITS | 1
+                        : earlier.third() + (count(earlier) == MAX_COUNT ? 0 : 1);
+        put(write.fingerprint(), firstSent, now.plus(ttl), third);
+        return number;
     }
 
-    private void put(long fingerprint, long firstSent, Instant expiry) {
+    private static long count(Entry entry) {
+        return entry.third() & MAX_COUNT;
+    }
+
+    /**
+     * Forgets a write that cannot come again. Others with the same fingerprint are kept, and so is
+     * everything where this one is forgotten already.
+     *
+     * @param number of the write, from {@link #add}
+     */
+    void remove(long fingerprint, long number) {
+        Entry entry = entries.get(fingerprint);
+        if (entry == null || number < entry.third() >> COUNT_BITS || count(entry) == MAX_COUNT) {
+            return;
+        }
+        if (count(entry) == 1) {
+            entries.remove(fingerprint);
+        } else {
+            entries.setThird(fingerprint, entry.third() - 1);
+        }
+    }
+
+    private void put(long fingerprint, long firstSent, Instant expiry, long third) {
         if (entries.isFull() && entries.get(fingerprint) == null) {
             allUncertainUntil = later(allUncertainUntil, instant(entries.oldest().second()));
         }
-        entries.put(fingerprint, firstSent, micros(expiry));
+        entries.put(fingerprint, firstSent, micros(expiry), third);
     }
 
     /** Whether sending this retry could run a write a second time. */
@@ -90,12 +128,6 @@
         return retry.effect() == Effect.TWICE || !now.isBefore(firstSent.plus(safe));
     }
 
-    /** Whether a write is remembered that has this in common with its retries. */
-    boolean contains(long fingerprint, Instant now) {
-        expire(now);
-        return entries.get(fingerprint) != null;
-    }
-
     /**
      * Treats all retries of writes as uncertain until the time to live has passed, as it is not
      * known what ran before now.
@@ -137,7 +169,13 @@
         expire(now);
         allUncertainUntil = later(allUncertainUntil, now.plus(allUncertainFor));
         // In the order in which they expire, as the oldest entries are looked at first.
-        writes.forEach(write -> put(write.fingerprint(), Long.MIN_VALUE, now.plus(ttl)));
+        writes.forEach(
+                write ->
+                        put(
+                                write.fingerprint(),
+                                Long.MIN_VALUE,
+                                now.plus(ttl),
+                                ++lastNumber << COUNT_BITS | MAX_COUNT));
     }
 
     private static Instant later(Instant one, Instant other) {
--- a/src/main/java/cypressglade/storm/WriteRegister.java
+++ b/src/main/java/cypressglade/storm/WriteRegister.java
@@ -17,8 +17,9 @@
  * All writes that a client could send again: those that are open, from their admission on, and
  * those that have ended and may have run. It alone decides whether a marked retry of a write may be
  * sent. A write that has ended unrun, as one that was refused, leaves it; so a retry that follows a
- * refusal finds nothing, unless another write that is like it is open or may have run. Whether a
- * client is there or has left decides nothing: one that is cut off seems to be there.
+ * refusal finds nothing, unless another write that is like it is open or may have run. One whose
+ * client has read that it was served leaves it as well. Whether a client is there or has left
+ * decides nothing: one that is cut off seems to be there.
  *
  * <p>Each open write is known by its own entry, so the end of one never clears another that has the
  * same fingerprint. Not safe for use by several threads.
@@ -26,25 +27,28 @@
 public final class WriteRegister {
     private static final System.Logger LOG = System.getLogger(WriteRegister.class.getName());
 
-    /** Of the retries that were let by, one for so many ended writes is remembered. */
-    static final int WRITES_PER_ADMITTED_RETRY = 4;
+    /** Of the retries that may have run, one for so many ended writes is remembered. */
+    static final int WRITES_PER_RETRY = 4;
 
     private final Duration ttl;
     private final UncertainWrites ended;
     private final Map<Long, List<OpenWrite>> open = new HashMap<>();
 
-    /** Retries that were let by. Key: fingerprint; first: when. */
-    private final RecentEntries admittedRetries;
+    /** Retries that were let by and may have run. Key: fingerprint; first: when let by. */
+    private final RecentEntries uncertainRetries;
 
     private OtherProcesses others = OtherProcesses.NONE;
 
     /** A write from its admission to its end. */
     public static final class OpenWrite {
         private final ClientRequest request;
+        private final Instant enteredAt;
         private Instant firstSent;
+        private long endedNumber;
 
-        private OpenWrite(ClientRequest request) {
+        private OpenWrite(ClientRequest request, Instant enteredAt) {
             this.request = request;
+            this.enteredAt = enteredAt;
         }
 
         /** Records that an attempt is sent; the first one counts. */
@@ -64,7 +68,7 @@
     WriteRegister(int maxWrites, Duration ttl, Instant now) {
         this.ttl = ttl;
         ended = new UncertainWrites(maxWrites, ttl, now);
-        admittedRetries = new RecentEntries(Math.max(1, maxWrites / WRITES_PER_ADMITTED_RETRY));
+        uncertainRetries = new RecentEntries(Math.max(1, maxWrites / WRITES_PER_RETRY));
     }
 
     /** Enters a request that is admitted; empty for one that changes nothing. */
@@ -72,11 +76,8 @@
         if (request.effect() == Effect.NONE) {
             return Optional.empty();
         }
-        OpenWrite write = new OpenWrite(request);
+        OpenWrite write = new OpenWrite(request, now);
         open.computeIfAbsent(request.fingerprint(), any -> new ArrayList<>(1)).add(write);
-        if (request.isRetry()) {
-            admittedRetries.put(request.fingerprint(), micros(now), 0);
-        }
         return Optional.of(write);
     }
 
@@ -85,10 +86,29 @@
         remove(write);
     }
 
-    /** Records the end of a write that may have run, whether or not its client was answered. */
+    /** Records the end of a write that may have run; its client may come again. */
     public void endUncertain(OpenWrite write, Instant now) {
         remove(write);
-        ended.add(write.request, write.firstSent == null ? now : write.firstSent, now);
+        rememberRetry(write);
+        write.endedNumber =
+                ended.add(write.request, write.firstSent == null ? now : write.firstSent, now);
+    }
+
+    /** Records the end of a write that was served, and whose client has read the answer. */
+    public void endConfirmed(OpenWrite write) {
+        remove(write);
+        rememberRetry(write);
+    }
+
+    /** Records that the client of a write has read the answer, after its end. */
+    public void confirm(OpenWrite write) {
+        ended.remove(write.request.fingerprint(), write.endedNumber);
+    }
+
+    private void rememberRetry(OpenWrite write) {
+        if (write.request.isRetry()) {
+            uncertainRetries.put(write.request.fingerprint(), micros(write.enteredAt), 0, 0);
+        }
     }
 
     private void remove(OpenWrite write) {
@@ -111,7 +131,7 @@
             return false;
         }
         if (!request.isRetry()) {
-            return mayBeOvertaken(request, now);
+            return mayBeOvertaken(request);
         }
         return ended.mayRunTwice(request, now)
                 || isOpen(request, now)
@@ -158,13 +178,17 @@
      * by after the first byte of this request arrived, and is open or may have run. So it is with a
      * client that was cut off in the middle of its body.
      */
-    private boolean mayBeOvertaken(ClientRequest original, Instant now) {
+    private boolean mayBeOvertaken(ClientRequest original) {
+        if (original.receivedAt().isEmpty()) {
+            return false;
+        }
+        Instant received = original.receivedAt().get();
         long fingerprint = original.fingerprint();
-        Entry retry = admittedRetries.get(fingerprint);
-        return retry != null
-                && original.receivedAt().isPresent()
-                && retry.first() >= micros(original.receivedAt().get())
-                && (open.containsKey(fingerprint) || ended.contains(fingerprint, now));
+        Entry retry = uncertainRetries.get(fingerprint);
+        return retry != null && retry.first() >= micros(received)
+                || open.getOrDefault(fingerprint, List.of()).stream()
+                        .filter(write -> write.request.isRetry())
+                        .anyMatch(write -> !write.enteredAt.isBefore(received));
     }
 
     /** Number of writes that are open, or remembered as ended. */
--- a/src/test/java/cypressglade/http/RetriedWriteTest.java
+++ b/src/test/java/cypressglade/http/RetriedWriteTest.java
@@ -9,8 +9,12 @@
 import cypressglade.standin.HttpPeer;
 import cypressglade.standin.HttpPeer.Message;
 import cypressglade.standin.Site;
+import java.io.DataInputStream;
 import java.io.DataOutputStream;
 import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Optional;
@@ -141,6 +145,34 @@
         }
     }
 
+    private static int retry(Site site) {
+        try (CutClient client = cutOff(site, 0)) {
+            return client.comeAgain();
+        } catch (IOException failed) {
+            throw new UncheckedIOException(failed);
+        }
+    }
+
+    /** Guards against a retry that is failed for a write whose client has read its answer. */
+    @Test
+    void retryThatFollowsARefusalIsServedBesideAWriteLikeItWhoseAnswerWasRead() throws Exception {
+        mayAnswer.release(2);
+        String write = Site.request("PUT", WRITE, HEADERS, BODY);
+        try (Site site = site();
+                Socket first = site.connect()) {
+            DataInputStream in = new DataInputStream(first.getInputStream());
+            first.getOutputStream().write(write.getBytes(StandardCharsets.US_ASCII));
+            assertThat(Message.read(in).status()).isEqualTo(200);
+            try (CutClient client = cutOff(site, 0)) {
+                assertThat(client.comeAgain()).as("before the next request").isEqualTo(FAILED);
+            }
+            first.getOutputStream().write("GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n".getBytes());
+            assertThat(Message.read(in).status()).isEqualTo(200);
+            // The end of the first task may be reported a moment after its answer was read.
+            Site.await(() -> retry(site) == 200);
+        }
+    }
+
     /** Guards against a retry that is failed though the refusal had told it to come again. */
     @Test
     void retryThatFollowsARefusalIsServed() throws Exception {
--- a/src/test/java/cypressglade/recent/RecentEntriesTest.java
+++ b/src/test/java/cypressglade/recent/RecentEntriesTest.java
@@ -25,12 +25,12 @@
             if (random.nextInt(3) == 0) {
                 assertThat(table.remove(key)).isEqualTo(expected.remove(key));
             } else {
-                table.put(key, step, -step);
+                table.put(key, step, -step, 2 * step);
                 expected.remove(key);
                 if (expected.size() == capacity) {
                     expected.remove(expected.keySet().iterator().next());
                 }
-                expected.put(key, new Entry(key, step, -step));
+                expected.put(key, new Entry(key, step, -step, 2 * step));
             }
             assertThat(table.get(key)).isEqualTo(expected.get(key));
             assertThat(table.size()).isEqualTo(expected.size());
@@ -50,9 +50,9 @@
         RecentEntries table = new RecentEntries(1 << 16);
         long begin = System.nanoTime();
         for (long key = 0; key < 1 << 16; key++) {
-            table.put(key << 48, key, key);
+            table.put(key << 48, key, key, key);
         }
         assertThat(System.nanoTime() - begin).isLessThan(2_000_000_000L);
-        assertThat(table.get(7L << 48)).isEqualTo(new Entry(7L << 48, 7, 7));
+        assertThat(table.get(7L << 48)).isEqualTo(new Entry(7L << 48, 7, 7, 7));
     }
 }
--- a/src/test/java/cypressglade/storm/WriteRegisterTest.java
+++ b/src/test/java/cypressglade/storm/WriteRegisterTest.java
@@ -92,6 +92,30 @@
         assertThat(writes.mayRunTwice(retry(1), now)).as("the first has ended").isTrue();
     }
 
+    /** Guards against clearing another write, or one that came later, with a confirmed one. */
+    @Test
+    void confirmedWriteLeavesAndClearsNoOther() {
+        OpenWrite first = enter(original(1));
+        OpenWrite second = enter(original(1));
+        writes.endUncertain(first, now);
+        writes.endUncertain(second, now);
+        writes.confirm(first);
+        assertThat(writes.mayRunTwice(retry(1), now)).as("the second is left").isTrue();
+        writes.confirm(second);
+        assertThat(writes.mayRunTwice(retry(1), now)).as("both are confirmed").isFalse();
+
+        OpenWrite old = enter(original(2));
+        writes.endUncertain(old, now);
+        Instant later = now.plus(TTL);
+        writes.endUncertain(writes.enter(original(2), later).orElseThrow(), later);
+        writes.confirm(old);
+        assertThat(writes.mayRunTwice(retry(2), later)).as("a later one").isTrue();
+
+        OpenWrite read = enter(original(3));
+        writes.endConfirmed(read);
+        assertThat(writes.mayRunTwice(retry(3), now)).as("read before its end").isFalse();
+    }
+
     /** Guards against a write whose retry has run when the rest of its body comes. */
     @Test
     void originalThatItsRetryHasOvertakenMayRunTwice() {
@@ -100,6 +124,8 @@
         assertThat(writes.mayRunTwice(cutOff, now)).as("the retry is open").isTrue();
         writes.endUncertain(retry, now);
         assertThat(writes.mayRunTwice(cutOff, now)).as("the retry has ended").isTrue();
+        writes.confirm(retry);
+        assertThat(writes.mayRunTwice(cutOff, now)).as("its answer is read").isTrue();
         ClientRequest later = write(1, false, Effect.TWICE, now.plusMillis(1));
         assertThat(writes.mayRunTwice(later, now)).as("a new write").isFalse();
         OpenWrite refused = enter(retry(2));
@@ -175,17 +201,24 @@
         Random random = new Random(seed);
         Instant time = now;
         Map<OpenWrite, Long> open = new HashMap<>();
-        Map<Long, Instant> ranUntil = new HashMap<>();
+        Map<Long, Map<OpenWrite, Instant>> ranUntil = new HashMap<>();
         int sent = 0;
         for (int step = 0; step < 20_000; step++) {
             time = time.plusMillis(random.nextInt(200));
             long key = random.nextInt(2 * CAPACITY);
+            Map<OpenWrite, Instant> ran = ranUntil.getOrDefault(key, Map.of());
+            if (random.nextInt(4) == 0 && !ran.isEmpty()) {
+                OpenWrite confirmed = ran.keySet().iterator().next();
+                ran.remove(confirmed);
+                writes.confirm(confirmed);
+            }
             if (random.nextBoolean() && !open.isEmpty()) {
                 OpenWrite write = open.keySet().iterator().next();
                 long ended = open.remove(write);
                 if (random.nextInt(3) == 0) {
                     writes.endUncertain(write, time);
-                    ranUntil.put(ended, time.plus(TTL));
+                    ranUntil.computeIfAbsent(ended, any -> new HashMap<>())
+                            .put(write, time.plus(TTL));
                 } else {
                     writes.endUnrun(write);
                 }
@@ -194,7 +227,9 @@
             } else if (!writes.mayRunTwice(retry(key), time)) {
                 sent++;
                 assertThat(open.values()).as("step %d", step).doesNotContain(key);
-                assertThat(time).isAfterOrEqualTo(ranUntil.getOrDefault(key, Instant.MIN));
+                for (Instant end : ranUntil.getOrDefault(key, Map.of()).values()) {
+                    assertThat(time).as("step %d", step).isAfterOrEqualTo(end);
+                }
             }
         }
         assertThat(sent).as("retries that were sent").isPositive();
