Count what is held of requests that are over, and the heap

So that a table at its bound, or a heap that fills, names itself in GET /counters: refusals, volumes, writes, slots, heap in use and at the most.

--- a/src/main/java/cypressglade/core/Counters.java
+++ b/src/main/java/cypressglade/core/Counters.java
@@ -3,6 +3,7 @@
 import java.util.EnumMap;
 import java.util.Locale;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.LongAdder;
 
 /**
@@ -114,13 +115,34 @@
         STORM_WRITES_KEPT_ONCE
     }
 
+    /**
+     * What is held now of requests that are over, as of the latest request; printed in lower case
+     * behind the counters, with the heap.
+     */
+    public enum Gauge {
+        /** Refusals by which retries are recognized. */
+        REFUSALS_REMEMBERED,
+        /** Volumes whose limits and demand are known. */
+        VOLUMES_KNOWN,
+        /** Writes that could come again; 0 where the measures against storms are off. */
+        WRITES_REMEMBERED,
+        /** Retry slots that are booked; 0 where the measures against storms are off. */
+        SLOTS_BOOKED
+    }
+
+    private static final int BYTES_PER_KB = 1024;
+
     private final Map<Name, LongAdder> counts = new EnumMap<>(Name.class);
+    private final Map<Gauge, AtomicLong> gauges = new EnumMap<>(Gauge.class);
 
     /** Creates counters that are all zero. */
     public Counters() {
         for (Name name : Name.values()) {
             counts.put(name, new LongAdder());
         }
+        for (Gauge gauge : Gauge.values()) {
+            gauges.put(gauge, new AtomicLong());
+        }
     }
 
     /** Adds one. */
@@ -143,15 +165,32 @@
         return counts.get(name).sum();
     }
 
-    /** All counters, one line each: the lower-case name, a space, the count. */
+    /** Sets what is held now. */
+    public void set(Gauge gauge, long value) {
+        gauges.get(gauge).set(value);
+    }
+
+    /** What was held when it was last set. */
+    public long get(Gauge gauge) {
+        return gauges.get(gauge).get();
+    }
+
+    /**
+     * All counters, then what is held now and the heap, of which garbage is a part, in KB; one line
+     * each: the lower-case name, a space, the number.
+     */
     public String text() {
         StringBuilder text = new StringBuilder();
-        counts.forEach(
-                (name, count) ->
-                        text.append(name.name().toLowerCase(Locale.ROOT))
-                                .append(' ')
-                                .append(count.sum())
-                                .append('\n'));
+        counts.forEach((name, count) -> appendLine(text, name.name(), count.sum()));
+        gauges.forEach((gauge, value) -> appendLine(text, gauge.name(), value.get()));
+        Runtime runtime = Runtime.getRuntime();
+        long used = runtime.totalMemory() - runtime.freeMemory();
+        appendLine(text, "HEAP_USED_KB", used / BYTES_PER_KB);
+        appendLine(text, "HEAP_MAX_KB", runtime.maxMemory() / BYTES_PER_KB);
         return text.toString();
     }
+
+    private static void appendLine(StringBuilder text, String name, long number) {
+        text.append(name.toLowerCase(Locale.ROOT)).append(' ').append(number).append('\n');
+    }
 }
--- a/src/main/java/cypressglade/core/Engine.java
+++ b/src/main/java/cypressglade/core/Engine.java
@@ -1,5 +1,6 @@
 package cypressglade.core;
 
+import cypressglade.core.Counters.Gauge;
 import cypressglade.core.NodeLink.AttemptResult;
 import cypressglade.core.NodeLink.ResponseMetadata;
 import cypressglade.core.Scheduler.Actions;
@@ -352,9 +353,17 @@
                     Plan plan = settings.planInForce(request.rules().plan());
                     demand.add(submitted, plan.limitRate() > 0);
                     scheduler.handleRequest(now(), submitted);
+                    countHeld();
                 });
     }
 
+    private void countHeld() {
+        Scheduler.MemoryView held = scheduler.memoryView();
+        counters.set(Gauge.REFUSALS_REMEMBERED, held.refusedRequests());
+        counters.set(Gauge.VOLUMES_KNOWN, held.volumes());
+        stormFilter.ifPresent(RetryStormFilter::countHeld);
+    }
+
     /** Turns the budget of further attempts on or off as the storm detector's state asks for. */
     private void updateAttemptBudget() {
         boolean next = stormFilter.filter(RetryStormFilter::isAttemptBudgetActive).isPresent();
--- a/src/main/java/cypressglade/core/RetryStormFilter.java
+++ b/src/main/java/cypressglade/core/RetryStormFilter.java
@@ -1,5 +1,6 @@
 package cypressglade.core;
 
+import cypressglade.core.Counters.Gauge;
 import cypressglade.core.Counters.Name;
 import cypressglade.core.Scheduler.NodeView;
 import cypressglade.core.Scheduler.RequestClass;
@@ -159,6 +160,11 @@
         return admission.writes().serialize(now);
     }
 
+    void countHeld() {
+        counters.set(Gauge.WRITES_REMEMBERED, admission.writes().size());
+        counters.set(Gauge.SLOTS_BOOKED, admission.bookedSlots());
+    }
+
     /** Shares the writes with the other processes of this instance. */
     void shareWrites(OtherProcesses others) {
         admission.writes().share(others);
--- a/src/main/java/cypressglade/core/Scheduler.java
+++ b/src/main/java/cypressglade/core/Scheduler.java
@@ -53,6 +53,9 @@
     /** Replaces this instance's shares of the limits that all instances keep together. */
     void applyLimitShares(long nowUs, LimitShares limitShares);
 
+    /** What is held of requests that are over. */
+    MemoryView memoryView();
+
     /** Returns what is known of each node. */
     List<NodeView> nodeViews(long nowUs);
 
@@ -321,6 +324,14 @@
         }
     }
 
+    /**
+     * What is held of requests that are over.
+     *
+     * @param refusedRequests refusals by which retries are recognized
+     * @param volumes volumes whose limits and demand are known
+     */
+    record MemoryView(int refusedRequests, int volumes) {}
+
     /**
      * This instance's shares of volumes' limits and of what may be sent to cold nodes, each 0 to 1.
      *
--- a/src/main/java/cypressglade/core/SchedulingPolicy.java
+++ b/src/main/java/cypressglade/core/SchedulingPolicy.java
@@ -408,6 +408,11 @@
         }
     }
 
+    @Override
+    public MemoryView memoryView() {
+        return new MemoryView(refusedRequests.size(), volumes.size());
+    }
+
     @Override
     public List<NodeView> nodeViews(long now) {
         return nodes.values().stream().map(node -> node.view(now)).toList();
--- a/src/main/java/cypressglade/storm/WriteRegister.java
+++ b/src/main/java/cypressglade/storm/WriteRegister.java
@@ -37,6 +37,7 @@
     /** Retries that were let by and may have run. Key: fingerprint; first: when let by. */
     private final RecentEntries uncertainRetries;
 
+    private int openCount;
     private OtherProcesses others = OtherProcesses.NONE;
 
     /** A write from its admission to its end. */
@@ -78,6 +79,7 @@
         }
         OpenWrite write = new OpenWrite(request, now);
         open.computeIfAbsent(request.fingerprint(), any -> new ArrayList<>(1)).add(write);
+        openCount++;
         return Optional.of(write);
     }
 
@@ -112,6 +114,7 @@
     }
 
     private void remove(OpenWrite write) {
+        openCount--;
         open.computeIfPresent(
                 write.request.fingerprint(),
                 (fingerprint, alike) -> alike.remove(write) && alike.isEmpty() ? null : alike);
@@ -193,7 +196,7 @@
 
     /** Number of writes that are open, or remembered as ended. */
     public int size() {
-        return ended.size() + open.values().stream().mapToInt(List::size).sum();
+        return ended.size() + openCount;
     }
 
     /**
--- a/src/test/java/cypressglade/process/KeptMemoryIT.java
+++ b/src/test/java/cypressglade/process/KeptMemoryIT.java
@@ -156,6 +156,8 @@
         assertThat(site.scheduler.alive()).as("the scheduler is alive").isTrue();
         long kept = site.scheduler.heapAfterCollectionKb() - before;
         System.out.printf("%d answers, %d KB kept%n", answered.get(), kept);
+        assertThat(site.scheduler.get("/counters"))
+                .contains("refusals_remembered ", "volumes_known ", "heap_used_kb ");
         assertThat(answered.get()).isGreaterThanOrEqualTo(count);
         assertThat(kept).as("KB kept").isLessThan(MOST_KEPT_KB);
         assertThat(site.askUntimed(SmallSite.read(2000)).status()).isEqualTo(200);
