--- a/src/main/java/cypressglade/core/RequestTask.java
+++ b/src/main/java/cypressglade/core/RequestTask.java
@@ -185,8 +185,8 @@
             // The client is owed an answer all the same.
             if (!isAnswered) {
                 fail();
-                engine.withdraw(this, false);
             }
+            engine.withdraw(this, false);
             throw fault;
         } finally {
             attempts.cancelAll();
