Read a first try before its retry is let by where both have arrived

Cause: connections that are ready at once are read in any order, so the retry could be entered before its first try was read, which then counted as new. Now a retry starts one turn of the I/O thread later, when all that was ready with it is read, and the first request of a connection counts from the connect.

--- a/src/main/java/cypressglade/http/ClientConnection.java
+++ b/src/main/java/cypressglade/http/ClientConnection.java
@@ -49,6 +49,7 @@
     private Phase phase = Phase.IDLE;
     private Instant since = MonotonicClock.now();
     private Instant firstByteAt = since; // of what is received, or waits to be handled
+    private boolean hasReceived;
     private Optional<ClientRequest> request = Optional.empty();
     private Optional<AnswerStream> stream = Optional.empty();
     private Optional<AnswerReceipt> servedReceipt = Optional.empty();
@@ -183,9 +184,11 @@
 
     @Override
     public void received(ByteBuffer in) {
-        if (pending.isEmpty() && !isReceiving()) {
+        // The first bytes may have come any time since the connect, unread.
+        if (hasReceived && pending.isEmpty() && !isReceiving()) {
             firstByteAt = MonotonicClock.now();
         }
+        hasReceived = true;
         if (pending.isEmpty() && phase == Phase.IDLE) {
             confirmAnswer();
         }
@@ -362,7 +365,7 @@
 
     /**
      * When the first byte of the request that is received was read, or of one before it that came
-     * at once with it.
+     * at once with it; the time of the connect for the first request.
      */
     Instant firstByteAt() {
         return firstByteAt;
--- a/src/main/java/cypressglade/http/RequestHandler.java
+++ b/src/main/java/cypressglade/http/RequestHandler.java
@@ -273,6 +273,16 @@
         ClientRequest request = client.request().orElseThrow();
         request.removeBodyTimeout();
         client.open();
+        if (request.ioRequest().isRetry()) {
+            // What has arrived before it on other connections is read first: its first try may be
+            // there, and the connections that are ready at once are read in any order.
+            loop.execute(() -> start(client, request, body));
+        } else {
+            start(client, request, body);
+        }
+    }
+
+    private void start(ClientConnection client, ClientRequest request, byte[] body) {
         // The client may have left while the body arrived, or while its previous request was open.
         if (!request.isOpen() || !checkClient(client, request)) {
             return;
--- a/src/test/java/cypressglade/http/RetriedWriteTest.java
+++ b/src/test/java/cypressglade/http/RetriedWriteTest.java
@@ -17,7 +17,9 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -38,9 +40,11 @@
     private static final int ALL = Integer.MAX_VALUE;
     private static final int FAILED = 502;
     private static final int REFUSED = 503;
+    private static final int SENT_AT_ONCE = 500;
 
     @TempDir Path folder;
     private final AtomicInteger runs = new AtomicInteger();
+    private final Map<String, Integer> runsByPath = new ConcurrentHashMap<>();
     private final Semaphore mayAnswer = new Semaphore(0);
     private volatile boolean isFull;
     private final HttpPeer node = new HttpPeer(this::work);
@@ -53,6 +57,7 @@
         }
         if (request.first().startsWith("PUT")) {
             runs.incrementAndGet();
+            runsByPath.merge(request.first(), 1, Integer::sum);
             assertThat(mayAnswer.tryAcquire(5, TimeUnit.SECONDS)).isTrue();
         }
         HttpPeer.answer(200, "", "done").answer(request, out);
@@ -145,6 +150,54 @@
         }
     }
 
+    /** Guards against a retry that is read before its first try, which has come by then. */
+    @Test
+    void writeThatIsSentAgainAtOnceRunsOnce() throws Exception {
+        mayAnswer.release(2 * SENT_AT_ONCE);
+        try (Site site = site()) {
+            for (int i = 0; i < SENT_AT_ONCE; i++) {
+                String path = WRITE.replace("/7f3a", String.format("/%04x", i));
+                try (CutClient client =
+                        new CutClient(site.serve.address(), path, HEADERS, BODY, ALL)) {
+                    client.comeAgain();
+                }
+            }
+            assertThat(runsByPath.values()).as("runs of each write").containsOnly(1);
+        }
+    }
+
+    /** Guards against the same where both tries come by connections that are in use. */
+    @Test
+    void writeThatIsSentAgainAtOnceByAConnectionInUseRunsOnce() throws Exception {
+        mayAnswer.release(2 * SENT_AT_ONCE);
+        try (Site site = site();
+                Socket one = site.connect();
+                Socket other = site.connect()) {
+            askHealth(one);
+            askHealth(other);
+            for (int i = 0; i < SENT_AT_ONCE; i++) {
+                Socket first = i % 2 == 0 ? one : other;
+                Socket second = i % 2 == 0 ? other : one;
+                String path = WRITE.replace("/7f3a", String.format("/%04x", i));
+                String original = Site.request("PUT", path, HEADERS, BODY);
+                String retry = Site.request("PUT", path, HEADERS + "X-Second-Try: 1\r\n", BODY);
+                first.getOutputStream().write(original.getBytes(StandardCharsets.US_ASCII));
+                second.getOutputStream().write(retry.getBytes(StandardCharsets.US_ASCII));
+                assertThat(Message.read(new DataInputStream(first.getInputStream())).status())
+                        .isIn(200, FAILED);
+                assertThat(Message.read(new DataInputStream(second.getInputStream())).status())
+                        .isIn(200, FAILED);
+            }
+            assertThat(runsByPath.values()).as("runs of each write").containsOnly(1);
+        }
+    }
+
+    private static void askHealth(Socket client) throws IOException {
+        client.getOutputStream().write("GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n".getBytes());
+        assertThat(Message.read(new DataInputStream(client.getInputStream())).status())
+                .isEqualTo(200);
+    }
+
     private static int retry(Site site) {
         try (CutClient client = cutOff(site, 0)) {
             return client.comeAgain();
